The whole path, thin, as separate processes

A chat call goes from a caller through an instance to an engine stand-in and back as a checked stream; a call to a plain service likewise.

Quota shares, queueing, placement and the freshness rule are still the simplest possible.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,31 @@
+// Package admission orders the requests that wait for a target: fair among
+// client accounts, bounded in time, refused early under overload.
+package admission
+
+import (
+	"context"
+
+	"github.com/dotterellink/dotterellink/internal/routing"
+)
+
+// Router is the part of routing.Router that admission uses.
+type Router interface {
+	Pick(request routing.Request) (*routing.Slot, error)
+}
+
+// Direct refuses at once when no target has a free slot. It implements
+// relay.Picker and serves as the baseline of comparisons.
+type Direct struct {
+	router Router
+}
+
+// NewDirect returns a picker without a queue.
+func NewDirect(router Router) *Direct { return &Direct{router: router} }
+
+// Pick implements relay.Picker.
+func (d *Direct) Pick(ctx context.Context, request routing.Request) (*routing.Slot, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	return d.router.Pick(request)
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,143 @@
+// Package entry serves callers: OpenAI-compatible model calls and plain
+// services over HTTP.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/dotterellink/dotterellink/internal/environment"
+	"github.com/dotterellink/dotterellink/internal/quota"
+	"github.com/dotterellink/dotterellink/internal/relay"
+	"github.com/dotterellink/dotterellink/internal/target"
+)
+
+// Limits of requests.
+const (
+	maxBodyBytes      = 4 << 20
+	maxHeaderBytes    = 32 << 10
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 120 * time.Second
+	defaultDeadline   = 120 * time.Second
+	maxDeadline       = 600 * time.Second
+)
+
+// Views returns the environment in force, or an error if the instance must not
+// serve the account by what it knows. The account is empty for open routes.
+type Views interface {
+	View() *environment.View
+	// Admit returns an error if the view is too old to serve the account.
+	Admit(account string) error
+}
+
+// Relayer runs admitted calls; relay.Relay is one.
+type Relayer interface {
+	Generate(ctx context.Context, call *relay.Call, sink relay.Sink) (relay.Result, error)
+	Invoke(ctx context.Context, call *relay.ServiceCall) (*target.ServiceReply, error)
+}
+
+// DemandRecorder learns which models and adapters callers ask for.
+type DemandRecorder interface {
+	// Note records an admitted request for the model or adapter and the tokens
+	// reserved for it.
+	Note(served string, tokens int64)
+}
+
+type noDemand struct{}
+
+func (noDemand) Note(string, int64) {}
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	views   Views
+	limiter quota.Limiter
+	relay   Relayer
+	demand  DemandRecorder
+	tracer  trace.Tracer
+	clock   clockwork.Clock
+	log     *log.Logger
+	metrics *metrics
+	echo    *echo.Echo
+
+	leaving atomic.Bool
+}
+
+// Config holds what a server is made of.
+type Config struct {
+	Views   Views
+	Limiter quota.Limiter
+	Relay   Relayer
+	// Demand may be nil.
+	Demand  DemandRecorder
+	Tracer  trace.Tracer
+	Clock   clockwork.Clock
+	Log     *log.Logger
+	Metrics Registerer
+}
+
+// New returns a server.
+func New(c Config) *Server {
+	s := &Server{
+		views:   c.Views,
+		limiter: c.Limiter,
+		relay:   c.Relay,
+		demand:  c.Demand,
+		tracer:  c.Tracer,
+		clock:   c.Clock,
+		log:     c.Log,
+		metrics: newMetrics(c.Metrics),
+		echo:    echo.New(),
+	}
+	if s.demand == nil {
+		s.demand = noDemand{}
+	}
+	s.echo.HideBanner = true
+	s.echo.HTTPErrorHandler = s.handleError
+	s.echo.Use(s.observe)
+	s.echo.GET("/healthz", s.healthz)
+	s.echo.GET("/readyz", s.readyz)
+	s.echo.GET("/v1/models", s.listModels)
+	s.echo.POST("/v1/chat/completions", s.generate(target.KindChat))
+	s.echo.POST("/v1/completions", s.generate(target.KindCompletion))
+	s.echo.POST("/v1/embeddings", s.generate(target.KindEmbedding))
+	s.echo.Any("/services/:name", s.invoke)
+	s.echo.Any("/services/:name/*", s.invoke)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
+
+// HTTPServer returns an http.Server with the limits of this package.
+func (s *Server) HTTPServer() *http.Server {
+	return &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// Leave makes /readyz fail, so that the balancer sends no new connections.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+func (s *Server) healthz(c echo.Context) error { return c.String(http.StatusOK, "ok\n") }
+
+func (s *Server) readyz(c echo.Context) error {
+	if s.leaving.Load() {
+		return c.String(http.StatusServiceUnavailable, "leaving\n")
+	}
+	if s.views.View().State.Revision == 0 {
+		return c.String(http.StatusServiceUnavailable, "no environment yet\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
--- /dev/null
+++ b/internal/mesh/frame.go
@@ -0,0 +1,59 @@
+package mesh
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// maxFrameBytes bounds one message: a whole state of an environment fits.
+const maxFrameBytes = 4 << 20
+
+// frame is one message on the wire, preceded by its length in four bytes, big
+// endian.
+type frame struct {
+	// ID joins an answer to its call.
+	ID     uint64 `msgpack:"i"`
+	Answer bool   `msgpack:"a,omitempty"`
+	Method string `msgpack:"m,omitempty"`
+	Body   []byte `msgpack:"b,omitempty"`
+	Error  string `msgpack:"e,omitempty"`
+	// Deadline is the time in milliseconds that the caller waits.
+	DeadlineMS int64 `msgpack:"d,omitempty"`
+}
+
+func writeFrame(w io.Writer, f *frame) error {
+	data, err := msgpack.Marshal(f)
+	if err != nil {
+		return merry.Wrap(ErrCodec, merry.WithCause(err))
+	}
+	if len(data) > maxFrameBytes {
+		return merry.Wrap(ErrCodec, merry.AppendMessage("message exceeds 4 MiB"))
+	}
+	buffer := make([]byte, 4, 4+len(data))
+	binary.BigEndian.PutUint32(buffer, uint32(len(data)))
+	_, err = w.Write(append(buffer, data...))
+	return err
+}
+
+func readFrame(r io.Reader) (*frame, error) {
+	var length [4]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(length[:])
+	if n > maxFrameBytes {
+		return nil, merry.Wrap(ErrCodec, merry.AppendMessage("message exceeds 4 MiB"))
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return nil, err
+	}
+	var f frame
+	if err := msgpack.Unmarshal(data, &f); err != nil {
+		return nil, merry.Wrap(ErrCodec, merry.WithCause(err))
+	}
+	return &f, nil
+}
--- /dev/null
+++ b/internal/mesh/link.go
@@ -0,0 +1,125 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const writeTimeout = 2 * time.Second
+
+// link is the outgoing connection to one peer. Calls share it.
+//
+// Lock order: writeMu before mu.
+type link struct {
+	peer Peer
+	conn net.Conn
+
+	writeMu sync.Mutex
+
+	mu      sync.Mutex
+	nextID  uint64
+	pending map[uint64]chan *frame
+	closed  bool
+}
+
+func newLink(peer Peer, conn net.Conn) *link {
+	return &link{peer: peer, conn: conn, pending: make(map[uint64]chan *frame)}
+}
+
+// readAnswers delivers answers until the connection ends.
+func (l *link) readAnswers() {
+	defer l.close()
+	reader := bufio.NewReader(l.conn)
+	for {
+		f, err := readFrame(reader)
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		waiting := l.pending[f.ID]
+		delete(l.pending, f.ID)
+		l.mu.Unlock()
+		if waiting != nil {
+			waiting <- f
+		}
+	}
+}
+
+func (l *link) call(ctx context.Context, method string, body []byte) ([]byte, error) {
+	id, answer, err := l.register()
+	if err != nil {
+		return nil, err
+	}
+	defer l.forget(id)
+	f := &frame{ID: id, Method: method, Body: body}
+	if deadline, ok := ctx.Deadline(); ok {
+		f.DeadlineMS = max(1, time.Until(deadline).Milliseconds())
+	}
+	if err := l.write(f); err != nil {
+		l.close()
+		return nil, merry.Wrap(ErrNoAnswer, merry.WithCause(err))
+	}
+	select {
+	case f, ok := <-answer:
+		return result(f, ok)
+	case <-ctx.Done():
+		return nil, merry.Wrap(ErrNoAnswer, merry.WithCause(ctx.Err()))
+	}
+}
+
+func result(f *frame, ok bool) ([]byte, error) {
+	if !ok {
+		return nil, merry.Wrap(ErrNoAnswer, merry.AppendMessage("connection ended"))
+	}
+	if f.Error != "" {
+		return nil, merry.Wrap(ErrRemote, merry.AppendMessage(f.Error))
+	}
+	return f.Body, nil
+}
+
+func (l *link) register() (uint64, chan *frame, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return 0, nil, merry.Wrap(ErrNotConnected)
+	}
+	l.nextID++
+	answer := make(chan *frame, 1)
+	l.pending[l.nextID] = answer
+	return l.nextID, answer, nil
+}
+
+func (l *link) forget(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pending, id)
+}
+
+func (l *link) write(f *frame) error {
+	l.writeMu.Lock()
+	defer l.writeMu.Unlock()
+	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return writeFrame(l.conn, f)
+}
+
+// close ends the connection and all pending calls.
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
+	l.closed = true
+	l.conn.Close()
+	for _, answer := range l.pending {
+		close(answer)
+	}
+	l.pending = nil
+}
--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,50 @@
+// Package telemetry sets up logs, traces and the metrics registry.
+package telemetry
+
+import (
+	"io"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/logfmt"
+)
+
+// ErrSetup means that logs or traces could not be set up.
+var ErrSetup = merry.Sentinel("telemetry: set-up failed")
+
+// NewLogger returns a logger that writes to out. The level is one of debug,
+// info, warn and error; the format is text or json.
+func NewLogger(out io.Writer, level, format string) (*log.Logger, error) {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return nil, merry.Wrap(ErrSetup, merry.WithCause(err))
+	}
+	var handler log.Handler = logfmt.New(out)
+	if format == "json" {
+		handler = json.New(out)
+	}
+	return &log.Logger{Handler: handler, Level: parsed}, nil
+}
+
+// Discard returns a logger that drops everything, for tests.
+func Discard() *log.Logger {
+	return &log.Logger{Handler: logfmt.New(io.Discard), Level: log.FatalLevel}
+}
+
+// Prefixed returns a logger whose messages start with "part: ".
+func Prefixed(logger *log.Logger, part string) *log.Logger {
+	return &log.Logger{Handler: &prefixHandler{next: logger.Handler, prefix: part + ": "}, Level: logger.Level}
+}
+
+type prefixHandler struct {
+	next   log.Handler
+	prefix string
+}
+
+// HandleLog implements log.Handler.
+func (h *prefixHandler) HandleLog(e *log.Entry) error {
+	prefixed := *e
+	prefixed.Message = h.prefix + e.Message
+	return h.next.HandleLog(&prefixed)
+}
