--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -76,7 +76,16 @@
 	if err != nil {
 		return "", err
 	}
-	return key.Account, s.views.Admit(key.Account)
+	if err := s.views.Admit(key.Account); err != nil {
+		return "", err
+	}
+	// The view may have been replaced since it was read, for example during a
+	// pause of the process. The key has to be in one that is not older than the
+	// view admitted by.
+	if _, err := keys.Authenticate(s.views.View(), authorization); err != nil {
+		return "", err
+	}
+	return key.Account, nil
 }
 
 func (s *Server) generate(kind target.Kind) echo.HandlerFunc {
--- a/internal/environment/document.go
+++ b/internal/environment/document.go
@@ -162,4 +162,13 @@
 	// TargetsLeaving lists targets that get no new work.
 	TargetsLeaving []string `json:"targets_leaving,omitempty"`
 	Change         Change   `json:"change"`
+	// RecentChanges lists the newest changes, this one included, oldest first.
+	RecentChanges []RecentChange `json:"recent_changes,omitempty"`
+}
+
+// RecentChange lets the writer of a change whose answer was lost find it after
+// later changes replaced it.
+type RecentChange struct {
+	Nonce    string `json:"nonce"`
+	Revision uint64 `json:"revision"`
 }
--- a/internal/environment/store.go
+++ b/internal/environment/store.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/apex/log"
-	"github.com/cenkalti/backoff/v5"
-	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/dotterellink/dotterellink/internal/platform"
@@ -33,10 +31,17 @@
 const (
 	// watchWait is how long one watch call waits for changes.
 	watchWait = 500 * time.Millisecond
-	// settleTimeout bounds the reading back of a write whose answer was lost.
-	settleTimeout = 10 * time.Second
+	// watchTimeout ends a watch call whose answer does not come.
+	watchTimeout = watchWait + 500*time.Millisecond
+	// Backoff of the watch while the platform fails.
+	watchBackoff    = 100 * time.Millisecond
+	maxWatchBackoff = time.Second
 )
 
+// errWentBack means that the platform holds less than it showed before, for
+// example after a restore from a backup.
+var errWentBack = merry.Sentinel("environment: platform went back")
+
 // Store holds the newest state known and changes it through the platform. It is
 // safe for concurrent use.
 //
@@ -47,6 +52,8 @@
 	clock   clockwork.Clock
 	log     *log.Logger
 
+	propagation Propagation
+
 	view atomic.Pointer[View]
 
 	// mu orders Apply; subscribers are called without it.
@@ -56,7 +63,7 @@
 
 // NewStore returns a store of the named environment with an empty state.
 func NewStore(name string, objects platform.Objects, clock clockwork.Clock, logger *log.Logger) *Store {
-	s := &Store{name: name, objects: objects, clock: clock, log: logger}
+	s := &Store{name: name, objects: objects, clock: clock, log: logger, propagation: noPropagation{}}
 	s.view.Store(NewView(&State{}, time.Time{}))
 	return s
 }
@@ -75,23 +82,27 @@
 	s.subscribers = append(s.subscribers, f)
 }
 
-// Apply takes a state that was the newest at confirmedAt. Older revisions than
-// the present are ignored. It reports whether the revision rose.
+// Propagate sets the part that makes changes known. It is called before the
+// store is used.
+func (s *Store) Propagate(p Propagation) { s.propagation = p }
+
+// Apply takes a state that was the newest at confirmedAt; the zero time confirms
+// nothing. A state older than the present one is ignored, and so is another
+// content under the present revision. It reports whether the revision rose.
 func (s *Store) Apply(state *State, confirmedAt time.Time) bool {
 	s.mu.Lock()
 	current := s.view.Load()
-	if state.Revision < current.State.Revision {
-		s.mu.Unlock()
-		return false
-	}
-	if state.Revision == current.State.Revision {
-		if confirmedAt.After(current.ConfirmedAt) {
-			s.view.Store(current.confirmed(confirmedAt))
+	if state.Revision <= current.State.Revision {
+		if state.Revision == current.State.Revision && !isOther(state, current.State) {
+			s.confirmLocked(confirmedAt)
 		}
 		s.mu.Unlock()
+		s.logOther(state, current.State)
 		return false
 	}
-	next := NewView(state, confirmedAt)
+	// Nothing newer than the old state was there at its confirmation, so the
+	// confirmation holds for the new state as well.
+	next := NewView(state, later(confirmedAt, current.ConfirmedAt))
 	s.view.Store(next)
 	subscribers := s.subscribers
 	s.mu.Unlock()
@@ -102,133 +113,123 @@
 	return true
 }
 
-// Run follows the platform until ctx ends.
-func (s *Store) Run(ctx context.Context) error {
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval = 100 * time.Millisecond
-	retry.MaxInterval = 2 * time.Second
-	var after platform.Version
-	for ctx.Err() == nil {
-		version, err := s.follow(ctx, after)
-		if err == nil {
-			after = version
-			retry.Reset()
-			continue
-		}
-		s.log.Debugf("Platform not reached: %v.", err)
-		select {
-		case <-s.clock.After(retry.NextBackOff()):
-		case <-ctx.Done():
-		}
+// Confirm records that no newer revision than revision was accepted before at.
+// It has no effect if the present revision is older.
+func (s *Store) Confirm(revision uint64, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view.Load().State.Revision >= revision {
+		s.confirmLocked(at)
 	}
-	return ctx.Err()
 }
 
-// follow makes one watch call. An answer without changes confirms the present
-// state as of the start of the call.
-func (s *Store) follow(ctx context.Context, after platform.Version) (platform.Version, error) {
-	asked := s.clock.Now()
-	objects, version, err := s.objects.Changes(ctx, StateKey(s.name), after, watchWait)
-	if err != nil {
-		return after, err
-	}
-	if len(objects) == 0 && after > 0 {
-		s.Apply(s.View().State, asked)
+func (s *Store) confirmLocked(at time.Time) {
+	current := s.view.Load()
+	if at.After(current.ConfirmedAt) {
+		s.view.Store(current.confirmed(at))
 	}
-	for _, o := range objects {
-		state, err := decodeState(o)
-		if err != nil {
-			return after, err
-		}
-		s.Apply(state, asked)
+}
+
+func (s *Store) logOther(state, current *State) {
+	if isOther(state, current) {
+		s.log.Errorf("Another revision %d was refused: change %s by %s is in force, change %s by %s was offered.",
+			state.Revision, current.Change.Nonce, current.Change.Operator, state.Change.Nonce, state.Change.Operator)
 	}
-	return version, nil
 }
 
-func decodeState(o platform.Object) (*State, error) {
-	var state State
-	if err := json.Unmarshal(o.Value, &state); err != nil {
-		return nil, merry.Prepend(err, "environment: stored state")
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return &state, nil
+	return b
 }
 
-// Change reads the state, lets edit change it and writes it back. It returns
-// the accepted state; only then is the change in force. With onRevision above
-// zero, any other revision in force is answered by ErrRace.
-func (s *Store) Change(ctx context.Context, operator, action string, onRevision uint64, edit func(*State) error) (*State, error) {
-	for {
-		state, err := s.tryChange(ctx, operator, action, onRevision, edit)
-		if errors.Is(err, platform.ErrConflict) && onRevision == 0 {
-			continue
-		}
-		if errors.Is(err, platform.ErrConflict) {
-			return nil, merry.Wrap(ErrRace)
-		}
-		return state, err
+// Run follows the platform until ctx ends.
+func (s *Store) Run(ctx context.Context) error {
+	var w watch
+	for ctx.Err() == nil {
+		s.step(ctx, &w)
 	}
+	return ctx.Err()
+}
+
+// watch is the position of one follower of the platform.
+type watch struct {
+	// after is the version of the newest state seen.
+	after    platform.Version
+	failures int
 }
 
-func (s *Store) tryChange(ctx context.Context, operator, action string, onRevision uint64, edit func(*State) error) (*State, error) {
-	current, version, err := s.read(ctx)
+// step makes one watch call and, after a failure, waits. It reports whether the
+// platform confirmed the state.
+func (s *Store) step(ctx context.Context, w *watch) bool {
+	err := s.follow(ctx, w)
+	if err == nil {
+		w.failures = 0
+		return true
+	}
+	s.log.Debugf("Platform gave no confirmation: %v.", err)
+	wait := fullJitter(rand.Float64(), w.failures, watchBackoff, maxWatchBackoff)
+	w.failures++
+	select {
+	case <-s.clock.After(wait):
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// follow makes one watch call. An answer without changes confirms the present
+// state as of the start of the call.
+func (s *Store) follow(ctx context.Context, w *watch) error {
+	ctx, cancel := clockwork.WithTimeout(ctx, s.clock, watchTimeout)
+	defer cancel()
+	asked := s.clock.Now()
+	objects, version, err := s.objects.Changes(ctx, StateKey(s.name), w.after, watchWait)
 	if err != nil {
-		return nil, err
-	}
-	if current.Revision < s.View().State.Revision {
-		return nil, merry.Wrap(ErrNotAccepted, merry.AppendMessage("platform answered with an old state"))
-	}
-	if onRevision > 0 && current.Revision != onRevision {
-		return nil, merry.Wrap(ErrRace)
+		return err
 	}
-	next := current.Clone()
-	if err := edit(next); err != nil {
-		return nil, err
+	if version < w.after {
+		return merry.Wrap(errWentBack, merry.AppendMessagef("from version %d to %d", w.after, version))
 	}
-	next.Revision = current.Revision + 1
-	next.Change = Change{
-		Nonce:    uuid.NewString(),
-		Operator: operator,
-		Action:   action,
-		AtMS:     s.clock.Now().UnixMilli(),
+	for _, o := range objects {
+		if err := s.take(o, asked, w); err != nil {
+			return err
+		}
 	}
-	if err := s.write(ctx, next, version); err != nil {
-		return nil, err
+	if len(objects) == 0 && w.after > 0 {
+		s.Confirm(s.View().State.Revision, asked)
 	}
-	s.Apply(next, s.clock.Now())
-	s.log.Infof("Revision %d accepted: %s by %s.", next.Revision, action, operator)
-	return next, nil
+	return nil
 }
 
-func (s *Store) read(ctx context.Context) (*State, platform.Version, error) {
-	object, err := s.objects.Get(ctx, StateKey(s.name))
-	if errors.Is(err, platform.ErrNotFound) {
-		return &State{}, 0, nil
+// take puts a state of the platform in force. The watch goes on behind the
+// versions of states rather than behind that of the whole store, so that a
+// state that a stale read left out is still shown later.
+func (s *Store) take(o platform.Object, asked time.Time, w *watch) error {
+	if o.Key != StateKey(s.name) {
+		w.after = max(w.after, o.Version)
+		return nil
+	}
+	if o.Deleted {
+		return merry.Wrap(errWentBack, merry.AppendMessage("the state was deleted"))
 	}
+	state, err := decodeState(o)
 	if err != nil {
-		return nil, 0, merry.Wrap(ErrNotAccepted, merry.WithCause(err))
+		return err
+	}
+	s.Apply(state, asked)
+	known := s.View().State
+	if state.Revision < known.Revision || isOther(state, known) {
+		return merry.Wrap(errWentBack, merry.AppendMessagef("to revision %d from %d", state.Revision, known.Revision))
 	}
-	state, err := decodeState(object)
-	return state, object.Version, err
+	w.after = o.Version
+	return nil
 }
 
-func (s *Store) write(ctx context.Context, next *State, expected platform.Version) error {
-	value, err := json.Marshal(next)
-	if err != nil {
-		return merry.Wrap(ErrNotAccepted, merry.WithCause(err))
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
-	defer cancel()
-	_, err = platform.PutSettled(ctx, s.objects, s.clock, StateKey(s.name), value, expected, func(stored []byte) bool {
-		var state State
-		return json.Unmarshal(stored, &state) == nil && state.Change.Nonce == next.Change.Nonce
-	})
-	switch {
-	case err == nil || errors.Is(err, platform.ErrConflict):
-		return err
-	case errors.Is(err, platform.ErrOutcomeUnknown):
-		return merry.Wrap(ErrUnsettled, merry.WithCause(err))
-	case errors.Is(err, platform.ErrTooLarge):
-		return merry.Wrap(ErrTooLarge)
+func decodeState(o platform.Object) (*State, error) {
+	var state State
+	if err := json.Unmarshal(o.Value, &state); err != nil {
+		return nil, merry.Prepend(err, "environment: stored state")
 	}
-	return merry.Wrap(ErrNotAccepted, merry.WithCause(err))
+	return &state, nil
 }
--- a/internal/environment/view.go
+++ b/internal/environment/view.go
@@ -137,5 +137,6 @@
 	out.Keys = slices.Clone(s.Keys)
 	out.ZonesOut = slices.Clone(s.ZonesOut)
 	out.TargetsLeaving = slices.Clone(s.TargetsLeaving)
+	out.RecentChanges = slices.Clone(s.RecentChanges)
 	return &out
 }
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -124,11 +124,23 @@
 }
 
 func (c *cluster) operate(method, path string, body any) (int, []byte, error) {
+	return c.exchange(method, c.operators(0)+path, body)
+}
+
+// send is exchange for calls that must get an answer.
+func (c *cluster) send(method, url string, body any) (int, string) {
+	status, answer, err := c.exchange(method, url, body)
+	Expect(err).NotTo(HaveOccurred())
+	return status, string(answer)
+}
+
+// exchange sends a body in JSON as an operator.
+func (c *cluster) exchange(method, url string, body any) (int, []byte, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return 0, nil, err
 	}
-	request, err := http.NewRequest(method, c.operators(0)+path, bytes.NewReader(data))
+	request, err := http.NewRequest(method, url, bytes.NewReader(data))
 	if err != nil {
 		return 0, nil, err
 	}
