--- a/internal/environment/propagate.go
+++ b/internal/environment/propagate.go
@@ -46,7 +46,7 @@
 	if current.Revision == 0 {
 		return nil
 	}
-	if !hasZone(&current.Document, s.mesh.Self().Zone) {
+	if len(current.Document.Zones) > 0 && !hasZone(&current.Document, s.mesh.Self().Zone) {
 		return merry.Wrap(ErrNotAccepted, merry.AppendMessagef("zone %s of this instance is not in the document", s.mesh.Self().Zone))
 	}
 	for !s.knowsZone() {
--- /dev/null
+++ b/internal/environment/property_test.go
@@ -0,0 +1,51 @@
+package environment
+
+import (
+	"flag"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// drawFaults returns what goes wrong in a run, in order, with the waits between.
+func drawFaults(t *rapid.T, kinds ...string) []fault {
+	one := rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			Kind:     rapid.SampledFrom(kinds).Draw(t, "kind"),
+			Instance: rapid.IntRange(0, 5).Draw(t, "instance"),
+			For:      time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second,
+		}
+	})
+	return rapid.SliceOfN(one, 1, 25).Draw(t, "faults")
+}
+
+func runWorld(t *rapid.T, kinds ...string) {
+	sizes := rapid.SliceOfN(rapid.IntRange(1, 2), 1, 3).Draw(t, "instances per zone")
+	loss := rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(t, "loss")
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), sizes, loss)
+	for _, f := range drawFaults(t, kinds...) {
+		w.inject(f)
+		w.run(time.Duration(rapid.IntRange(0, 16).Draw(t, "quarters")) * simStep)
+	}
+	w.settle()
+	if len(w.problems) > 0 {
+		t.Fatal(strings.Join(w.problems[:min(5, len(w.problems))], "\n"))
+	}
+}
+
+// TestWithdrawalsHoldUnderFaults checks over random interleavings of faults that
+// no instance that runs admits a key 5 s after its accepted withdrawal, that
+// revisions never go down, and that no accepted change is lost.
+func TestWithdrawalsHoldUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		runWorld(t, "pause", "restart", "lost answer", "publish list", "create", "withdraw", "withdraw", "outage", "cut from platform", "cut from platform", "cut from zones")
+	})
+}
--- /dev/null
+++ b/internal/environment/world_test.go
@@ -0,0 +1,447 @@
+package environment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dotterellink/dotterellink/internal/membership"
+	"github.com/dotterellink/dotterellink/internal/mesh"
+	"github.com/dotterellink/dotterellink/internal/mesh/meshtest"
+	"github.com/dotterellink/dotterellink/internal/platform"
+	"github.com/dotterellink/dotterellink/internal/standin/platformstandin"
+	"github.com/dotterellink/dotterellink/internal/telemetry"
+)
+
+const (
+	simStep = 250 * time.Millisecond
+	// withdrawalBound is the stated target of the withdrawal of keys.
+	withdrawalBound = 5 * time.Second
+	maxRaceDepth    = 2
+)
+
+// errDied unwinds the change of an instance that died meanwhile.
+var errDied = errors.New("instance died")
+
+// world runs instances, their platform and their operators on one goroutine. A
+// wait of any of them lets the simulated time of all go on.
+type world struct {
+	clock     *clockwork.FakeClock
+	random    *rand.Rand
+	network   *meshtest.Network
+	platform  *platformstandin.Store
+	instances []*simInstance
+	listed    []membership.Member
+	faults    platformstandin.Faults
+	loss      float64
+	// until holds the ends of faults in force.
+	until    map[string]time.Time
+	late     []lateAnswer
+	steps    int
+	depth    int
+	nextKey  int
+	created  map[string]bool
+	accepted map[string]time.Time
+	tried    map[string]bool
+	problems []string
+}
+
+// lateAnswer is an answer to a status request that is still on its way.
+type lateAnswer struct {
+	at   time.Time
+	to   *Syncer
+	from string
+	sent time.Time
+	body *status
+}
+
+type simInstance struct {
+	world       *world
+	name, zone  string
+	generation  int
+	pausedUntil time.Time
+	store       *Store
+	syncer      *Syncer
+	watch       watch
+	heard       map[string]time.Time
+	listed      []membership.Member
+	revision    uint64
+	nonce       string
+}
+
+func newWorld(seed uint64, sizes []int, loss float64) *world {
+	clock := clockwork.NewFakeClockAt(time.Date(2040, 1, 1, 0, 0, 0, 0, time.UTC))
+	w := &world{
+		clock: clock, random: rand.New(rand.NewPCG(seed, 1)), network: meshtest.NewNetwork(), loss: loss,
+		platform: platformstandin.NewStore(clock, seed), until: make(map[string]time.Time),
+		created: make(map[string]bool), accepted: make(map[string]time.Time), tried: make(map[string]bool),
+	}
+	w.network.SetFate(w.fate)
+	for z, size := range sizes {
+		for n := range size {
+			i := &simInstance{world: w, name: fmt.Sprintf("%c%d", 'a'+z, n), zone: fmt.Sprintf("zone-%c", 'a'+z)}
+			w.instances = append(w.instances, i)
+			i.start()
+		}
+	}
+	document := Document{}
+	for z := range sizes {
+		document.Zones = append(document.Zones, Zone{Name: fmt.Sprintf("zone-%c", 'a'+z)})
+	}
+	w.run(2 * time.Second)
+	w.depth = maxRaceDepth
+	_, err := w.instances[0].store.Change(context.Background(), "op", "declare", 0, func(s *State) error {
+		s.Document = document
+		return nil
+	})
+	w.require(err == nil, "declare: %v", err)
+	w.depth = 0
+	w.run(2 * time.Second)
+	return w
+}
+
+func (w *world) require(ok bool, format string, args ...any) {
+	if !ok {
+		w.problems = append(w.problems, fmt.Sprintf(format, args...))
+	}
+}
+
+// start replaces the process of an instance by a new one that knows nothing.
+func (i *simInstance) start() {
+	w := i.world
+	i.generation++
+	i.pausedUntil = time.Time{}
+	i.heard = make(map[string]time.Time)
+	i.listed, i.watch, i.revision = nil, watch{}, 0
+	process := &simProcess{FakeClock: w.clock, instance: i, generation: i.generation}
+	i.store = NewStore("production", process, process, telemetry.Discard())
+	i.syncer = NewSyncer(i.store, w.network.Join(i.name, i.zone), i, process, prometheus.NewRegistry(), telemetry.Discard())
+}
+
+func (i *simInstance) isPaused() bool { return i.world.clock.Now().Before(i.pausedUntil) }
+
+// Members implements Members by heartbeats of the last two seconds.
+func (i *simInstance) Members() []membership.Member {
+	out := []membership.Member{{Name: i.name, Zone: i.zone}}
+	for _, other := range i.world.instances {
+		at, ok := i.heard[other.name]
+		if ok && i.world.clock.Since(at) <= membership.AliveFor {
+			out = append(out, membership.Member{Name: other.name, Zone: other.zone})
+		}
+	}
+	return out
+}
+
+// Listed implements Members.
+func (i *simInstance) Listed() []membership.Member { return i.listed }
+
+// fate loses and duplicates messages between zones, and all of paused instances.
+// Inside a zone only a third as many are lost: a zone is not partitioned.
+func (w *world) fate(from, to mesh.Peer, _ string) meshtest.Fate {
+	for _, i := range w.instances {
+		if i.isPaused() && (i.name == from.Name || i.name == to.Name) {
+			return meshtest.LoseRequest
+		}
+	}
+	loss := w.loss
+	if from.Zone == to.Zone {
+		loss /= 3
+	}
+	switch draw := w.random.Float64(); {
+	case draw < loss/2:
+		return meshtest.LoseRequest
+	case draw < loss:
+		return meshtest.LoseAnswer
+	case draw < loss+0.05:
+		return meshtest.Duplicate
+	}
+	return meshtest.Deliver
+}
+
+// simProcess is the platform and the clock as one process sees them. Waiting
+// lets the world go on; a dead process never returns from it.
+type simProcess struct {
+	*clockwork.FakeClock
+	instance   *simInstance
+	generation int
+}
+
+func (p *simProcess) check() {
+	if p.generation != p.instance.generation {
+		panic(errDied)
+	}
+}
+
+func (p *simProcess) After(d time.Duration) <-chan time.Time {
+	p.instance.world.run(max(d, time.Millisecond))
+	for p.instance.isPaused() {
+		p.instance.world.run(simStep)
+	}
+	p.check()
+	fired := make(chan time.Time, 1)
+	fired <- p.Now()
+	return fired
+}
+
+func (p *simProcess) context() context.Context {
+	return platformstandin.WithZone(context.Background(), p.instance.zone)
+}
+
+func (p *simProcess) Get(_ context.Context, key string) (platform.Object, error) {
+	object, err := p.instance.world.platform.Get(p.context(), key)
+	// Other operators may come between the read and the write.
+	if w := p.instance.world; w.depth < maxRaceDepth && w.random.Float64() < 0.3 {
+		w.operate(w.random.Float64() < 0.5)
+	}
+	p.check()
+	return object, err
+}
+
+func (p *simProcess) List(_ context.Context, prefix string) ([]platform.Object, platform.Version, error) {
+	return p.instance.world.platform.List(p.context(), prefix)
+}
+
+func (p *simProcess) Put(_ context.Context, key string, value []byte, expected platform.Version) (platform.Object, error) {
+	return p.instance.world.platform.Put(p.context(), key, value, expected)
+}
+
+func (p *simProcess) Delete(_ context.Context, key string, expected platform.Version) error {
+	return p.instance.world.platform.Delete(p.context(), key, expected)
+}
+
+func (p *simProcess) Changes(_ context.Context, prefix string, after platform.Version, _ time.Duration) ([]platform.Object, platform.Version, error) {
+	return p.instance.world.platform.Changes(p.context(), prefix, after, 0)
+}
+
+// run lets d pass.
+func (w *world) run(d time.Duration) {
+	for d > 0 {
+		step := min(d, simStep)
+		d -= step
+		w.clock.Advance(step)
+		w.endFaults()
+		w.deliverLate()
+		w.steps++
+		for _, i := range w.instances {
+			if !i.isPaused() {
+				i.check()
+				i.step()
+				i.check()
+			}
+		}
+	}
+}
+
+// step does what the loops of an instance do.
+func (i *simInstance) step() {
+	w := i.world
+	i.syncer.Tick()
+	i.beat()
+	if i.syncer.IsConfirmer() && i.store.follow(context.Background(), &i.watch) == nil {
+		i.syncer.reached()
+	}
+	poked := false
+	select {
+	case <-i.syncer.poke:
+		poked = true
+	default:
+	}
+	if poked || w.steps%4 == 0 {
+		for _, p := range i.syncer.mesh.Peers() {
+			i.ask(p.Name)
+		}
+	}
+}
+
+// ask exchanges status with a peer; some answers come late and out of order.
+func (i *simInstance) ask(peer string) {
+	w := i.world
+	if w.random.Float64() < 0.8 {
+		i.syncer.ask(context.Background(), peer)
+		return
+	}
+	sent := w.clock.Now()
+	request := &statusRequest{Revision: i.store.View().State.Revision}
+	answer, err := mesh.Call[statusRequest, status](context.Background(), i.syncer.mesh, peer, methodStatus, request)
+	if err == nil {
+		delay := time.Duration(w.random.Int64N(int64(statusTimeout)))
+		w.late = append(w.late, lateAnswer{at: sent.Add(delay), to: i.syncer, from: peer, sent: sent, body: answer})
+	}
+}
+
+func (w *world) deliverLate() {
+	w.late = slices.DeleteFunc(w.late, func(l lateAnswer) bool {
+		if w.clock.Now().Before(l.at) {
+			return false
+		}
+		l.to.learn(l.from, l.sent, l.body)
+		return true
+	})
+}
+
+// beat exchanges heartbeats and reads the list of instances.
+func (i *simInstance) beat() {
+	w := i.world
+	for _, other := range w.instances {
+		from, to := i.syncer.mesh.Self(), other.syncer.mesh.Self()
+		connected := slices.Contains(i.syncer.mesh.Peers(), to)
+		if other != i && connected && w.fate(from, to, "") == meshtest.Deliver {
+			i.heard[other.name] = w.clock.Now()
+		}
+	}
+	if _, err := w.platform.Instances(platformstandin.WithZone(context.Background(), i.zone)); err == nil {
+		i.listed = w.listed
+	}
+}
+
+// check compares an instance with what was accepted.
+func (i *simInstance) check() {
+	w := i.world
+	state := i.store.View().State
+	w.require(state.Revision >= i.revision, "%s went from revision %d to %d", i.name, i.revision, state.Revision)
+	w.require(state.Revision > i.revision || state.Change.Nonce == i.nonce || i.revision == 0, "%s changed the content of revision %d", i.name, state.Revision)
+	i.revision, i.nonce = state.Revision, state.Change.Nonce
+	if i.syncer.Verdict() == VerdictCutOff {
+		return
+	}
+	for _, key := range state.Keys {
+		if at, ok := w.accepted[key.ID]; ok && w.clock.Since(at) > withdrawalBound {
+			w.require(false, "%s serves key %s %s after its withdrawal, verdict %s", i.name, key.ID, w.clock.Since(at), i.syncer.Verdict())
+		}
+	}
+}
+
+// operate creates or withdraws a key through a random instance.
+func (w *world) operate(withdraw bool) {
+	w.depth++
+	defer func() { w.depth-- }()
+	defer func() {
+		if died := recover(); died != nil && died != errDied {
+			panic(died)
+		}
+	}()
+	i := w.instances[w.random.IntN(len(w.instances))]
+	id := w.pickKey()
+	if i.isPaused() || (withdraw && id == "") {
+		return
+	}
+	if withdraw {
+		w.tried[id] = true
+		if _, err := i.store.Change(context.Background(), "op", "withdraw", 0, func(s *State) error {
+			s.Keys = slices.DeleteFunc(s.Keys, func(k Key) bool { return k.ID == id })
+			return nil
+		}); err == nil {
+			w.accepted[id] = w.clock.Now()
+		}
+		return
+	}
+	w.nextKey++
+	id = fmt.Sprintf("key-%d", w.nextKey)
+	if _, err := i.store.Change(context.Background(), "op", "create", 0, func(s *State) error {
+		s.Keys = append(s.Keys, Key{ID: id})
+		return nil
+	}); err == nil {
+		w.created[id] = true
+	}
+}
+
+// pickKey returns a key that was created and not withdrawn, or "".
+func (w *world) pickKey() string {
+	for n := 1; n <= w.nextKey; n++ {
+		id := fmt.Sprintf("key-%d", n)
+		if w.created[id] && !w.tried[id] {
+			return id
+		}
+	}
+	return ""
+}
+
+// fault is one thing that goes wrong in a run.
+type fault struct {
+	Kind     string
+	Instance int
+	For      time.Duration
+}
+
+// inject starts a fault; endFaults ends it.
+func (w *world) inject(f fault) {
+	i := w.instances[f.Instance%len(w.instances)]
+	end := w.clock.Now().Add(f.For)
+	switch f.Kind {
+	case "pause":
+		i.pausedUntil = end
+	case "restart":
+		i.start()
+	case "lost answer":
+		w.faults.LoseAnswers++
+	case "publish list":
+		w.listed = nil
+		for _, other := range w.instances {
+			w.listed = append(w.listed, membership.Member{Name: other.name, Zone: other.zone})
+		}
+	case "create", "withdraw":
+		w.operate(f.Kind == "withdraw")
+	default:
+		w.until[f.Kind+" "+i.zone] = end
+	}
+	w.applyFaults()
+}
+
+// endFaults ends the faults whose time is over.
+func (w *world) endFaults() {
+	w.faults.LoseAnswers = 0
+	for key, end := range w.until {
+		if !w.clock.Now().Before(end) {
+			delete(w.until, key)
+		}
+	}
+	w.applyFaults()
+}
+
+func (w *world) applyFaults() {
+	w.faults.Outage, w.faults.StaleReads, w.faults.CutZones = false, false, nil
+	for _, i := range w.instances {
+		_, outage := w.until["outage "+i.zone]
+		_, stale := w.until["stale reads "+i.zone]
+		_, cut := w.until["cut from platform "+i.zone]
+		_, apart := w.until["cut from zones "+i.zone]
+		w.faults.Outage = w.faults.Outage || outage
+		w.faults.StaleReads = w.faults.StaleReads || stale
+		if cut {
+			w.faults.CutZones = append(w.faults.CutZones, i.zone)
+		}
+		w.network.CutZone(i.zone, false)
+		if apart {
+			defer w.network.CutZone(i.zone, true)
+		}
+	}
+	w.platform.SetFaults(w.faults)
+}
+
+// settle ends all faults and checks that nothing accepted was lost.
+func (w *world) settle() {
+	clear(w.until)
+	w.loss = 0
+	for _, i := range w.instances {
+		i.pausedUntil = time.Time{}
+	}
+	w.run(2 * withdrawalBound)
+	newest := w.instances[0].store.View().State
+	for _, i := range w.instances {
+		state := i.store.View().State
+		w.require(state.Revision == newest.Revision && !isOther(state, newest), "%s ended at revision %d, not %d", i.name, state.Revision, newest.Revision)
+		w.require(i.syncer.Verdict() == VerdictFresh, "%s ended with verdict %s", i.name, i.syncer.Verdict())
+		for id := range w.created {
+			w.require(w.tried[id] || i.store.View().Key(id) != nil, "%s lost key %s", i.name, id)
+		}
+		for id := range w.accepted {
+			w.require(i.store.View().Key(id) == nil, "%s has withdrawn key %s", i.name, id)
+		}
+	}
+}
