--- /dev/null
+++ b/internal/environment/environment_test.go
@@ -0,0 +1,101 @@
+package environment
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestEnvironment(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Environment Suite")
+}
+
+// verdicts returns the verdict of the first instance of each zone.
+func (w *world) verdicts() []Verdict {
+	var out []Verdict
+	for _, i := range w.instances {
+		out = append(out, i.syncer.Verdict())
+	}
+	return out
+}
+
+var _ = Describe("The freshness rule", func() {
+	var w *world
+
+	BeforeEach(func() {
+		w = newWorld(1, []int{1, 1, 1}, 0)
+		w.depth = maxRaceDepth
+		w.operateAt(w.instances[0], false)
+		w.run(2 * time.Second)
+		Expect(w.created).To(HaveLen(1))
+	})
+
+	AfterEach(func() { Expect(w.problems).To(BeEmpty()) })
+
+	It("cuts a zone off that sees neither the platform nor other zones", func() {
+		w.inject(fault{Kind: "isolated", Instance: 1, For: time.Minute})
+		w.operateAt(w.instances[0], true)
+		Expect(w.accepted).To(HaveLen(1))
+		w.run(withdrawalBound)
+		Expect(w.verdicts()).To(Equal([]Verdict{VerdictFresh, VerdictCutOff, VerdictFresh}))
+		w.run(withdrawalBound)
+	})
+
+	It("serves on while the platform is down for all zones", func() {
+		w.inject(fault{Kind: "outage", For: time.Minute})
+		w.run(30 * time.Second)
+		Expect(w.verdicts()).To(HaveEach(VerdictOutage))
+	})
+
+	It("does not serve through an outage when a zone is not visible or without live instances", func() {
+		w.inject(fault{Kind: "outage", For: time.Minute})
+		w.run(10 * time.Second)
+		w.network.Leave(w.instances[2].name)
+		w.run(withdrawalBound)
+		Expect(w.verdicts()).To(HaveEach(VerdictCutOff))
+	})
+
+	It("lets a new instance take the state from peers in an outage without speaking for its zone", func() {
+		w.inject(fault{Kind: "outage", For: time.Minute})
+		w.run(10 * time.Second)
+		w.instances[2].start()
+		w.run(withdrawalBound)
+		Expect(w.instances[2].store.View().State.Revision).To(Equal(w.instances[0].store.View().State.Revision))
+		Expect(w.verdicts()).To(HaveEach(VerdictCutOff))
+	})
+
+	It("counts the ages of relayed statements from when they were asked for", func() {
+		now := w.clock.Now()
+		f := NewFreshness(now)
+		f.Entitle()
+		f.Hear("zone-b", Statement{AsOf: now, Revision: 3})
+		f.Hear("zone-b", Statement{AsOf: now.Add(-time.Second), Revision: 2})
+		f.Tick(now.Add(maxStatementAge), false)
+		zones := []string{"zone-a", "zone-b"}
+		verdictAt := func(after time.Duration, revision uint64) Verdict {
+			return f.Verdict(now.Add(after), "zone-a", revision, zones)
+		}
+		Expect(verdictAt(maxStatementAge, 3)).To(Equal(VerdictOutage))
+		Expect(verdictAt(maxStatementAge, 2)).To(Equal(VerdictCutOff))
+		Expect(verdictAt(maxStatementAge+1, 3)).To(Equal(VerdictCutOff))
+		f.Hear("zone-b", Statement{AsOf: now.Add(maxStatementAge), Revision: 3, ReachesPlatform: true})
+		Expect(verdictAt(maxStatementAge, 3)).To(Equal(VerdictCutOff))
+	})
+
+	It("does not trust itself after a pause until a peer of its zone has answered", func() {
+		now := w.clock.Now()
+		f := NewFreshness(now)
+		f.Tick(now, true)
+		f.Entitle()
+		Expect(f.Verdict(now, "zone-a", 1, []string{"zone-a"})).To(Equal(VerdictOutage))
+		woken := now.Add(2 * time.Second)
+		Expect(f.Verdict(woken, "zone-a", 1, []string{"zone-a"})).To(Equal(VerdictCutOff))
+		Expect(f.Tick(woken, false)).To(BeTrue())
+		Expect(f.Verdict(woken, "zone-a", 1, []string{"zone-a"})).To(Equal(VerdictCutOff))
+		f.Entitle()
+		Expect(f.Verdict(woken, "zone-a", 1, []string{"zone-a"})).To(Equal(VerdictOutage))
+	})
+})
