--- a/internal/environment/environment_test.go
+++ b/internal/environment/environment_test.go
@@ -67,6 +67,31 @@
 		Expect(w.verdicts()).To(HaveEach(VerdictCutOff))
 	})
 
+	It("keeps a withdrawal that only one instance of a zone could write before it died", func() {
+		w = newWorld(1, []int{2, 1}, 0)
+		w.depth = maxRaceDepth
+		w.operateAt(w.instances[0], false)
+		w.inject(fault{Kind: "outage", For: 10 * time.Second})
+		w.run(8 * time.Second)
+		Expect(w.verdicts()).To(HaveEach(VerdictOutage))
+		clear(w.until)
+		w.inject(fault{Kind: "cut from platform", Instance: 2, For: time.Minute})
+		w.operateAt(w.instances[0], true)
+		Expect(w.accepted).To(HaveLen(1))
+		w.inject(fault{Kind: "outage", For: time.Minute})
+		w.inject(fault{Kind: "pause", Instance: 0, For: time.Minute})
+		w.run(2 * withdrawalBound)
+	})
+
+	It("counts the age of a late answer from when it was asked for", func() {
+		i := w.instances[0]
+		before := i.store.View().ConfirmedAt
+		asked := w.clock.Now().Add(-time.Second)
+		answer := &status{Revision: i.store.View().State.Revision, Nonce: i.store.View().State.Change.Nonce, ConfirmedAgeMS: 0}
+		i.syncer.learn("b0", asked, answer)
+		Expect(i.store.View().ConfirmedAt).To(Equal(later(before, asked)))
+	})
+
 	It("counts the ages of relayed statements from when they were asked for", func() {
 		now := w.clock.Now()
 		f := NewFreshness(now)
--- a/internal/environment/world_test.go
+++ b/internal/environment/world_test.go
@@ -50,6 +50,8 @@
 	accepted map[string]time.Time
 	tried    map[string]bool
 	problems []string
+	// onWait is called once, by the next wait of any change.
+	onWait func()
 }
 
 // lateAnswer is an answer to a status request that is still on its way.
@@ -101,8 +103,8 @@
 		return nil
 	})
 	w.require(err == nil, "declare: %v", err)
+	w.run(settleAfterWake)
 	w.depth = 0
-	w.run(2 * time.Second)
 	return w
 }
 
@@ -179,6 +181,10 @@
 }
 
 func (p *simProcess) After(d time.Duration) <-chan time.Time {
+	if f := p.instance.world.onWait; f != nil {
+		p.instance.world.onWait = nil
+		f()
+	}
 	p.instance.world.run(max(d, time.Millisecond))
 	for p.instance.isPaused() {
 		p.instance.world.run(simStep)
