Operator API, command line, trials, JSON Schema

Need: operators drive an environment by one document, tried and then promoted, through any instance and never through the platform.

Trials are kept with the digest of the document they were compared with; promotion is one conditional write that fails clearly if another document came first. Roles read and write; each accepted change is logged with operator and revision. Exit codes tell "nothing was changed" from "outcome unknown".

Shown by internal/trial, internal/operator, internal/cli, internal/environment and internal/settings tests, and a hand run of make fleet with every command. history lists the newest change alone until the state keeps recent changes.

--- a/internal/environment/document.go
+++ b/internal/environment/document.go
@@ -161,5 +161,7 @@
 	ZonesOut []string `json:"zones_out,omitempty"`
 	// TargetsLeaving lists targets that get no new work.
 	TargetsLeaving []string `json:"targets_leaving,omitempty"`
-	Change         Change   `json:"change"`
+	// TrialID names the trial that the document in force was promoted from.
+	TrialID string `json:"trial_id,omitempty"`
+	Change  Change `json:"change"`
 }
--- a/internal/environment/validate.go
+++ b/internal/environment/validate.go
@@ -21,10 +21,11 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrInvalidDocument, merry.WithCause(err))
 	}
+	if err := checkSchema(standard); err != nil {
+		return nil, err
+	}
 	var d Document
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&d); err != nil {
+	if err := json.Unmarshal(standard, &d); err != nil {
 		return nil, merry.Wrap(ErrInvalidDocument, merry.AppendMessage(err.Error()))
 	}
 	if err := d.Validate(); err != nil {
--- a/internal/instance/wire_servers.go
+++ b/internal/instance/wire_servers.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/dotterellink/dotterellink/internal/entry"
 	"github.com/dotterellink/dotterellink/internal/operator"
+	"github.com/dotterellink/dotterellink/internal/trial"
 )
 
 // wireServers makes the servers of callers and operators.
@@ -18,5 +19,14 @@
 		Log:     i.part("entry"),
 		Metrics: i.registry,
 	})
-	i.operator = operator.New(i.store, i.settings.Operators.Credentials, i.registry, i.part("operator"))
+	i.operator = operator.New(operator.Config{
+		Settings:  i.settings,
+		Store:     i.store,
+		Trials:    trial.New(i.settings.Environment, i.store, d.Objects, d.Clock),
+		Inventory: i.inventory.Snapshot,
+		Members:   i.membership.Members,
+		Gatherer:  i.registry,
+		Clock:     d.Clock,
+		Log:       i.part("operator"),
+	})
 }
--- a/scripts/fleet-start.sh
+++ b/scripts/fleet-start.sh
@@ -16,11 +16,15 @@
   "$dir/bin/$program" $args > "$dir/$name.log" 2>&1 &
   echo "$!" >> "$dir/pids"
 done < "$dir/commands"
-operators=http://127.20.1.1:8081
+export DOTTERELLINK_ADDRESS=127.20.1.1:8081 DOTTERELLINK_TOKEN=fleet-operator
+cli="$dir/bin/dotterellink"
 for _ in $(seq 50); do
-  curl -fsS -o /dev/null "$operators/metrics" 2> /dev/null && break
+  "$cli" status > /dev/null 2>&1 && break
   sleep 0.1
 done
-curl -fsS -X PUT -H 'Authorization: Bearer fleet-operator' --data-binary "@$dir/environment.json" "$operators/operator/v1/environment"
-curl -fsS -X POST -H 'Authorization: Bearer fleet-operator' -H 'Content-Type: application/json' -d '{"account":"celula"}' "$operators/operator/v1/keys"
-echo "callers: http://127.20.1.1:8080 ... http://127.20.1.7:8080; operator token fleet-operator; logs in $dir/"
+"$cli" environment trial "$dir/environment.json" > "$dir/trial"
+"$cli" environment promote "$(awk '$1 == "trial" {print $2}' "$dir/trial")"
+"$cli" key create --account celula
+echo "callers:   http://127.20.1.1:8080 to http://127.20.1.7:8080"
+echo "operators: export DOTTERELLINK_ADDRESS=$DOTTERELLINK_ADDRESS DOTTERELLINK_TOKEN=$DOTTERELLINK_TOKEN"
+echo "logs:      $dir/*.log"
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dotterellink/dotterellink/internal/environment"
 	"github.com/dotterellink/dotterellink/internal/operator"
 	"github.com/dotterellink/dotterellink/internal/standin/fleet"
 )
@@ -51,7 +52,7 @@
 	for _, command := range c.layout.Commands() {
 		c.start(command)
 	}
-	c.put("/operator/v1/environment", c.layout.Document)
+	c.declare(c.layout.Document)
 	for n := range c.layout.Instances {
 		Eventually(func() int { return c.readiness(n) }, startTimeout, 20*time.Millisecond).Should(Equal(http.StatusOK))
 	}
@@ -115,12 +116,17 @@
 	return response.StatusCode
 }
 
-// put sends a change to the first instance that takes it.
-func (c *cluster) put(path string, body any) {
+// declare puts a document in force by a trial and its promotion.
+func (c *cluster) declare(document environment.Document) {
+	var trial operator.TrialAnswer
 	Eventually(func() (int, error) {
-		status, _, err := c.operate(http.MethodPut, path, body)
+		status, answer, err := c.operate(http.MethodPost, "/operator/v1/trials", document)
+		_ = json.Unmarshal(answer, &trial)
 		return status, err
-	}, startTimeout, 50*time.Millisecond).Should(Equal(http.StatusOK))
+	}, startTimeout, 50*time.Millisecond).Should(Equal(http.StatusCreated))
+	status, answer, err := c.operate(http.MethodPost, "/operator/v1/trials/"+trial.ID+"/promotion", nil)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(status).To(Equal(http.StatusOK), string(answer))
 }
 
 func (c *cluster) operate(method, path string, body any) (int, []byte, error) {
