Traces, their generator, and replay judged against stated outcomes

Need: the users decide by outcomes. A trace format, a seeded generator for both deployments (made, not recorded), an open-loop replay with latencies counted from the trace's times, faults by an events file, outcomes from the caller's side and the stand-ins' counts, reports as text, JSON and a page.

Shown by internal/trace and internal/replay tests, which bring about each kind of missed outcome (tokens beyond, doubled, lost, false "not run", cut, overcommit).

--- a/cmd/dotterellink-standin/main.go
+++ b/cmd/dotterellink-standin/main.go
@@ -19,6 +19,7 @@
 	"github.com/dotterellink/dotterellink/internal/standin/fleet"
 	"github.com/dotterellink/dotterellink/internal/standin/platformstandin"
 	"github.com/dotterellink/dotterellink/internal/standin/servicestandin"
+	"github.com/dotterellink/dotterellink/internal/trace"
 )
 
 type common struct {
@@ -34,6 +35,9 @@
 type layoutCommand struct {
 	Dir     string `long:"dir" description:"folder to write the fleet's files into" required:"true"`
 	Network int    `long:"network" description:"second byte of the loopback addresses" default:"20"`
+	// Deployment and Rate size the fleet.
+	Deployment string  `long:"deployment" description:"sizes of the fleet" choice:"small" choice:"celula" choice:"ingrassa" default:"small"`
+	Rate       float64 `long:"rate" description:"requests a second at the peak, for the rates of a deployment's accounts" default:"20"`
 }
 
 type engineCommand struct {
@@ -94,7 +98,7 @@
 // Execute implements flags.Commander. It prints one line a process: its name,
 // its program and its arguments.
 func (c *layoutCommand) Execute([]string) error {
-	layout := fleet.New(c.Dir, fleet.Small(c.Network))
+	layout := fleet.New(c.Dir, c.params())
 	if err := layout.Write(); err != nil {
 		return err
 	}
@@ -129,6 +133,16 @@
 	return c.serve(servicestandin.NewHandler(servicestandin.New(c.Name, clockwork.NewRealClock())))
 }
 
+func (c *layoutCommand) params() fleet.Params {
+	switch c.Deployment {
+	case "celula":
+		return fleet.ForDeployment(trace.Celula(), c.Network, c.Rate)
+	case "ingrassa":
+		return fleet.ForDeployment(trace.Ingrassa(), c.Network, c.Rate)
+	}
+	return fleet.Small(c.Network)
+}
+
 func (c *common) serve(handler http.Handler) error {
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -25,6 +25,7 @@
 	ExitUnavailable = 6
 	ExitUnknown     = 7
 	ExitNotFound    = 8
+	ExitMissed      = 9
 )
 
 // globalOptions are the options of every command.
@@ -79,6 +80,7 @@
 		{ErrUnavailable, ExitUnavailable},
 		{ErrUnknown, ExitUnknown},
 		{ErrNotFound, ExitNotFound},
+		{ErrMissed, ExitMissed},
 	} {
 		if errors.Is(err, rule.sentinel) {
 			return rule.code
@@ -126,6 +128,8 @@
 func (a *App) topCommands() []command {
 	return []command{
 		{"status", "Show the instance that is asked and the others it sees.", &statusCommand{a}},
+		{"replay", "Send the requests of a trace and judge the outcomes.", &replayCommand{App: a}},
+		{"trace", "Generate a trace and print it.", &traceCommand{App: a}},
 		{"quickstart", "Serve one instance with embedded stand-ins in this process.", &quickstartCommand{App: a}},
 		{"completion", "Print the completion script of a shell.", &completionCommand{App: a}},
 		{"version", "Print the version.", &versionCommand{a}},
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -27,6 +27,7 @@
 	ErrUnavailable = merry.Sentinel("not reached; nothing was changed")
 	ErrUnknown     = merry.Sentinel("outcome unknown")
 	ErrNotFound    = merry.Sentinel("not found")
+	ErrMissed      = merry.Sentinel("stated outcome missed")
 	ErrFailed      = merry.Sentinel("failed")
 )
 
--- a/scripts/fleet-start.sh
+++ b/scripts/fleet-start.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Starts a local fleet on loopback: 7 instances in three zones with stand-ins,
-# each a process of its own. Process ids go to .fleet/pids.
+# each a process of its own. Process ids go to .fleet/pids. Arguments go to
+# "dotterellink-standin layout", for example --deployment celula --rate 20.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 dir=.fleet
@@ -10,11 +11,11 @@
 fi
 mkdir -p "$dir"
 go build -o "$dir/bin/" ./cmd/...
-"$dir/bin/dotterellink-standin" layout --dir "$dir" > "$dir/commands"
+"$dir/bin/dotterellink-standin" layout --dir "$dir" "$@" > "$dir/commands"
 while read -r name program args; do
   # shellcheck disable=SC2086  # the arguments hold no spaces
   "$dir/bin/$program" $args > "$dir/$name.log" 2>&1 &
-  echo "$!" >> "$dir/pids"
+  echo "$! $name" >> "$dir/pids"
 done < "$dir/commands"
 export DOTTERELLINK_ADDRESS=127.20.1.1:8081 DOTTERELLINK_TOKEN=fleet-operator
 cli="$dir/bin/dotterellink"
@@ -24,7 +25,8 @@
 done
 "$cli" environment trial "$dir/environment.json" > "$dir/trial"
 "$cli" environment promote "$(awk '$1 == "trial" {print $2}' "$dir/trial")"
-"$cli" key create --account celula
+account=$("$cli" account list | awk 'NR == 2 {print $1}')
+"$cli" key create --account "$account"
 echo "callers:   http://127.20.1.1:8080 to http://127.20.1.7:8080"
 echo "operators: export DOTTERELLINK_ADDRESS=$DOTTERELLINK_ADDRESS DOTTERELLINK_TOKEN=$DOTTERELLINK_TOKEN"
 echo "logs:      $dir/*.log"
