--- a/cmd/dotterellink-standin/main.go
+++ b/cmd/dotterellink-standin/main.go
@@ -15,6 +15,7 @@
 	"github.com/tailscale/hujson"
 
 	"github.com/dotterellink/dotterellink/internal/platform"
+	"github.com/dotterellink/dotterellink/internal/settings"
 	"github.com/dotterellink/dotterellink/internal/standin/enginestandin"
 	"github.com/dotterellink/dotterellink/internal/standin/fleet"
 	"github.com/dotterellink/dotterellink/internal/standin/platformstandin"
@@ -37,6 +38,7 @@
 	Network int    `long:"network" description:"second byte of the loopback addresses" default:"20"`
 	// Deployment and Rate size the fleet.
 	Deployment string  `long:"deployment" description:"sizes of the fleet" choice:"small" choice:"celula" choice:"ingrassa" default:"small"`
+	Baseline   bool    `long:"baseline" description:"let instances decide by the baseline policies"`
 	Rate       float64 `long:"rate" description:"requests a second at the peak, for the rates of a deployment's accounts" default:"20"`
 }
 
@@ -134,6 +136,18 @@
 }
 
 func (c *layoutCommand) params() fleet.Params {
+	p := c.sizes()
+	if c.Baseline {
+		p.Policies = settings.Policies{
+			Routing:   settings.PolicyLeastOutstanding,
+			Placement: settings.PolicyStatic,
+			Queue:     settings.PolicyNone,
+		}
+	}
+	return p
+}
+
+func (c *layoutCommand) sizes() fleet.Params {
 	switch c.Deployment {
 	case "celula":
 		return fleet.ForDeployment(trace.Celula(), c.Network, c.Rate)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
@@ -37,6 +38,7 @@
 	Log         Log       `json:"log"`
 	Tracing     Tracing   `json:"tracing"`
 	Drain       Drain     `json:"drain"`
+	Policies    Policies  `json:"policies"`
 }
 
 // Listen holds the addresses, each "IP:PORT", on which the instance listens.
@@ -103,6 +105,28 @@
 	LimitSeconds float64 `json:"limit_seconds"`
 }
 
+// Policy names a way of deciding.
+type Policy string
+
+// Policies to choose from. All but PolicyDefault are baselines for comparisons.
+const (
+	PolicyDefault Policy = "default"
+	// PolicyRoundRobin and PolicyLeastOutstanding are ways of routing.
+	PolicyRoundRobin       Policy = "round_robin"
+	PolicyLeastOutstanding Policy = "least_outstanding"
+	// PolicyStatic keeps models where they are.
+	PolicyStatic Policy = "static"
+	// PolicyNone turns the queue off.
+	PolicyNone Policy = "none"
+)
+
+// Policies choose how an instance decides.
+type Policies struct {
+	Routing   Policy `json:"routing"`
+	Placement Policy `json:"placement"`
+	Queue     Policy `json:"queue"`
+}
+
 // Default returns the settings that a file need not state.
 func Default() Settings {
 	return Settings{
@@ -110,6 +134,7 @@
 		Log:         Log{Level: "info", Format: "text"},
 		Tracing:     Tracing{SampleRatio: 1},
 		Drain:       Drain{ReadinessSeconds: 2},
+		Policies:    Policies{Routing: PolicyDefault, Placement: PolicyDefault, Queue: PolicyDefault},
 	}
 }
 
@@ -177,6 +202,10 @@
 	check(s.Tracing.SampleRatio >= 0 && s.Tracing.SampleRatio <= 1, "tracing.sample_ratio", "must be from 0 to 1")
 	check(s.Drain.ReadinessSeconds >= 0, "drain.readiness_seconds", "must not be negative")
 	check(s.Drain.LimitSeconds >= 0, "drain.limit_seconds", "must not be negative")
+	p := s.Policies
+	check(isOneOf(p.Routing, PolicyDefault, PolicyRoundRobin, PolicyLeastOutstanding), "policies.routing", "must be default, round_robin or least_outstanding")
+	check(isOneOf(p.Placement, PolicyDefault, PolicyStatic), "policies.placement", "must be default or static")
+	check(isOneOf(p.Queue, PolicyDefault, PolicyNone), "policies.queue", "must be default or none")
 	for _, c := range s.Operators.Credentials {
 		check(c.Operator != "", "operators.credentials.operator", "must not be empty")
 		check(isOneOf(c.Role, "read", "write"), "operators.credentials.role", "must be read or write")
@@ -195,13 +224,8 @@
 	return err == nil && u.Host != "" && isOneOf(u.Scheme, "http", "https")
 }
 
-func isOneOf(s string, allowed ...string) bool {
-	for _, a := range allowed {
-		if s == a {
-			return true
-		}
-	}
-	return false
+func isOneOf[T comparable](value T, allowed ...T) bool {
+	return slices.Contains(allowed, value)
 }
 
 // decodeError names the line and field of a JSON error.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,6 +47,7 @@
 		Entry("missing name", `"name": "instance-1",`, ``, "name: must be"),
 		Entry("broken JSON", `"zone": "zone-a",`, `"zone" "zone-a",`, "i.json: "),
 		Entry("bad platform", `http://127.0.0.1:7000`, `127.0.0.1`, "i.json:10: platform.url"),
+		Entry("bad policy", `"log": {`, `"policies": {"routing": "random"}, "log": {`, "i.json:13: policies.routing: must be default"),
 		Entry("text behind", `{"level": "info"}`+"\n}", `{"level": "info"}`+"\n} {}", "i.json"),
 	)
 })
--- a/internal/standin/fleet/layout.go
+++ b/internal/standin/fleet/layout.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -57,6 +58,8 @@
 	LogLevel string
 	// ReadinessSeconds is the drain setting of the instances.
 	ReadinessSeconds float64
+	// Policies of the instances; empty ones are the default.
+	Policies settings.Policies
 }
 
 // Small returns the fleet of the fleet script: 7 instances in three zones, three
@@ -164,6 +167,11 @@
 	s.Operators.Credentials = []settings.Credential{{Operator: "tester", Role: "write", TokenSHA256: keys.HashToken(OperatorToken)}}
 	s.Log.Level = p.LogLevel
 	s.Drain.ReadinessSeconds = p.ReadinessSeconds
+	s.Policies = settings.Policies{
+		Routing:   cmp.Or(p.Policies.Routing, s.Policies.Routing),
+		Placement: cmp.Or(p.Policies.Placement, s.Policies.Placement),
+		Queue:     cmp.Or(p.Policies.Queue, s.Policies.Queue),
+	}
 	l.Instances = append(l.Instances, Instance{Settings: s, File: filepath.Join(l.Dir, name+".json")})
 	l.Records = append(l.Records, platform.InstanceRecord{Name: name, Zone: s.Zone, MeshAddress: s.Listen.Mesh, State: platform.InstanceLive})
 }
