--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -115,7 +116,7 @@
 	body, err := io.ReadAll(response.Body)
 	switch {
 	case err != nil:
-		s.Result = ResultCut
+		s.Result = readFailure(err)
 	case response.StatusCode != http.StatusOK:
 		s.refused(response)
 	case !bytes.Contains(body, []byte(s.ID)):
@@ -183,7 +184,7 @@
 	for {
 		line, err := reader.ReadBytes('\n')
 		if err != nil {
-			s.Result = ResultCut
+			s.Result = readFailure(err)
 			return
 		}
 		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
@@ -213,6 +214,15 @@
 	}
 }
 
+// readFailure tells an answer that ends as if it were whole from a lost
+// connection, which the caller sees as such.
+func readFailure(err error) Result {
+	if errors.Is(err, io.EOF) {
+		return ResultCut
+	}
+	return ResultError
+}
+
 // token times one token and returns its time.
 func (s *Sample) token(last time.Time) time.Time {
 	now := time.Now()
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -21,8 +20,8 @@
 // Options of a replay.
 type Options struct {
 	Trace *trace.Trace
-	// Addresses serve callers; requests are spread over them at random, as the
-	// balancer does.
+	// Addresses serve callers; requests are spread at random over those that are
+	// ready.
 	Addresses []string
 	// Operators are the operator addresses, asked in turn.
 	Operators []string
@@ -171,7 +170,10 @@
 // sendAll sends every request at its time, whether earlier ones have ended or
 // not, and waits for all.
 func (r *runner) sendAll(ctx context.Context) {
-	random := rand.New(rand.NewPCG(r.options.Seed, 1))
+	balancer := newBalancer(r.options.Addresses, r.options.Seed)
+	probing, stopProbing := context.WithCancel(ctx)
+	defer stopProbing()
+	go balancer.run(probing)
 	records := ApplySurges(r.options.Trace.Records, r.options.Events)
 	stop := r.showProgress(len(records))
 	defer stop()
@@ -182,12 +184,11 @@
 			Scheduled: r.at(records[i].AtMS),
 			ID:        fmt.Sprintf("%s-%d-%d", r.options.Trace.Header.Deployment, r.run.Started.UnixNano(), i),
 		}
-		address := r.options.Addresses[random.IntN(len(r.options.Addresses))]
 		if !sleepUntil(ctx, s.Scheduled) {
 			break
 		}
 		r.run.Samples = append(r.run.Samples, s)
-		wait.Go(func() { r.send(ctx, address, s) })
+		wait.Go(func() { r.send(ctx, balancer.pick(), s) })
 	}
 	wait.Wait()
 }
@@ -196,7 +197,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Record.DeadlineMS)*time.Millisecond+dialTimeout)
 	defer cancel()
 	s.Sent = time.Now()
-	r.caller.send(ctx, address, s)
+	r.caller.send(ctx, balancer.pick(), s)
 	r.done.Add(1)
 }
 
