--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -197,7 +197,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Record.DeadlineMS)*time.Millisecond+dialTimeout)
 	defer cancel()
 	s.Sent = time.Now()
-	r.caller.send(ctx, balancer.pick(), s)
+	r.caller.send(ctx, address, s)
 	r.done.Add(1)
 }
 
