--- a/cmd/dotterellink-standin/main.go
+++ b/cmd/dotterellink-standin/main.go
@@ -39,6 +39,9 @@
 	// Deployment and Rate size the fleet.
 	Deployment string  `long:"deployment" description:"sizes of the fleet" choice:"small" choice:"celula" choice:"ingrassa" default:"small"`
 	Baseline   bool    `long:"baseline" description:"let instances decide by the baseline policies"`
+	Instances  int     `long:"instances" description:"number of instances instead of the deployment's"`
+	Engines    int     `long:"engines" description:"number of engines instead of the deployment's"`
+	Models     int     `long:"models" description:"number of models instead of the deployment's"`
 	Rate       float64 `long:"rate" description:"requests a second at the peak, for the rates of a deployment's accounts" default:"20"`
 }
 
@@ -147,7 +150,23 @@
 	return p
 }
 
+// sizes returns the deployment's fleet with the sizes asked for.
 func (c *layoutCommand) sizes() fleet.Params {
+	p := c.deployment()
+	if c.Instances > 0 {
+		p.Instances = c.Instances
+	}
+	if c.Engines > 0 {
+		p.Engines = c.Engines
+	}
+	if c.Models > 0 {
+		p.Models = fleet.Models(c.Models)
+		p.Adapters = nil
+	}
+	return p
+}
+
+func (c *layoutCommand) deployment() fleet.Params {
 	switch c.Deployment {
 	case "celula":
 		return fleet.ForDeployment(trace.Celula(), c.Network, c.Rate)
--- a/internal/standin/fleet/layout.go
+++ b/internal/standin/fleet/layout.go
@@ -90,6 +90,20 @@
 	}
 }
 
+// Models returns n small models.
+func Models(n int) []environment.Model {
+	out := make([]environment.Model, 0, n)
+	for i := range n {
+		out = append(out, environment.Model{
+			Name:             fmt.Sprintf("model-%04d", i),
+			MemoryMB:         100,
+			ContextTokens:    contextTokens,
+			DefaultMaxTokens: defaultTokens,
+		})
+	}
+	return out
+}
+
 // Instance is one instance of a layout.
 type Instance struct {
 	Settings settings.Settings
