--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -86,6 +86,7 @@
 	}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	i.wireEnvironment()
+	i.registry.MustRegister(i.node.Collectors()...)
 	i.wireTargets()
 	i.wireAdmission()
 	i.wireRelay()
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -31,6 +31,7 @@
 	config   *tls.Config
 	log      *log.Logger
 	handlers map[string]Handler
+	metrics  *metrics
 
 	mu     sync.Mutex
 	wanted map[string]context.CancelFunc
@@ -48,6 +49,7 @@
 		config:   config,
 		log:      logger,
 		handlers: make(map[string]Handler),
+		metrics:  newMetrics(),
 		wanted:   make(map[string]context.CancelFunc),
 		links:    make(map[string]*link),
 	}
@@ -79,7 +81,9 @@
 	if l == nil {
 		return nil, merry.Wrap(ErrNotConnected)
 	}
-	return l.call(ctx, method, body)
+	answer, err := l.call(ctx, method, body)
+	n.metrics.countCall(method, err)
+	return answer, err
 }
 
 // Run accepts connections on listener until ctx ends.
@@ -103,7 +107,7 @@
 
 // serve answers the calls of one peer.
 func (n *Node) serve(ctx context.Context, raw net.Conn) {
-	conn := tls.Server(raw, n.config)
+	conn := tls.Server(n.metrics.count(raw), n.config)
 	defer conn.Close()
 	peer, err := n.handshake(ctx, conn)
 	if err != nil {
@@ -217,7 +221,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := tls.Client(raw, n.config)
+	conn := tls.Client(n.metrics.count(raw), n.config)
 	peer, err := n.handshake(ctx, conn)
 	if err == nil && peer.Name != p.Name {
 		err = merry.Wrap(pki.ErrIdentity, merry.AppendMessagef("found %s", peer.Name))
