--- a/internal/environment/environment_test.go
+++ b/internal/environment/environment_test.go
@@ -1,18 +1,12 @@
 package environment
 
 import (
-	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-func TestEnvironment(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "Environment Suite")
-}
-
 // verdicts returns the verdict of the first instance of each zone.
 func (w *world) verdicts() []Verdict {
 	var out []Verdict
@@ -85,6 +79,8 @@
 
 	It("counts the age of a late answer from when it was asked for", func() {
 		i := w.instances[0]
+		w.inject(fault{Kind: "outage", For: time.Minute})
+		w.run(withdrawalBound)
 		before := i.store.View().ConfirmedAt
 		asked := w.clock.Now().Add(-time.Second)
 		answer := &status{Revision: i.store.View().State.Revision, Nonce: i.store.View().State.Change.Nonce, ConfirmedAgeMS: 0}
