Mesh: one bad message or peer holds up no other

Seen failing on the old code (internal/mesh): "refuses messages that are too large and goes on" (the connection was ended for all its calls) and "ends a half-open connection after calls went unanswered". With the verification of certificates off, "gives nothing to a peer without a certificate of its authority" fails.

Change: a message too large is refused by itself; a connection that brings nothing for 3 s while calls go unanswered is made anew; a failed accept is tried again instead of ending the instance.

--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -10,7 +11,12 @@
 	"github.com/ansel1/merry/v2"
 )
 
-const writeTimeout = 2 * time.Second
+const (
+	writeTimeout = 2 * time.Second
+	// halfOpenAfter is how long a connection on which calls go unanswered may
+	// bring nothing before it counts as half-open and is made anew.
+	halfOpenAfter = 3 * time.Second
+)
 
 // link is the outgoing connection to one peer. Calls share it.
 //
@@ -25,10 +31,12 @@
 	nextID  uint64
 	pending map[uint64]chan *frame
 	closed  bool
+	// readAt is when the connection last brought a frame.
+	readAt time.Time
 }
 
 func newLink(peer Peer, conn net.Conn) *link {
-	return &link{peer: peer, conn: conn, pending: make(map[uint64]chan *frame)}
+	return &link{peer: peer, conn: conn, pending: make(map[uint64]chan *frame), readAt: time.Now()}
 }
 
 // readAnswers delivers answers until the connection ends.
@@ -41,6 +49,7 @@
 			return
 		}
 		l.mu.Lock()
+		l.readAt = time.Now()
 		waiting := l.pending[f.ID]
 		delete(l.pending, f.ID)
 		l.mu.Unlock()
@@ -61,17 +70,37 @@
 		f.DeadlineMS = max(1, time.Until(deadline).Milliseconds())
 	}
 	if err := l.write(f); err != nil {
-		l.close()
-		return nil, merry.Wrap(ErrNoAnswer, merry.WithCause(err))
+		return nil, l.writeFailed(err)
 	}
 	select {
 	case f, ok := <-answer:
 		return result(f, ok)
 	case <-ctx.Done():
+		l.closeIfHalfOpen(time.Now())
 		return nil, merry.Wrap(ErrNoAnswer, merry.WithCause(ctx.Err()))
 	}
 }
 
+// writeFailed ends the connection unless nothing was written to it.
+func (l *link) writeFailed(err error) error {
+	if errors.Is(err, ErrCodec) {
+		return err
+	}
+	l.close()
+	return merry.Wrap(ErrNoAnswer, merry.WithCause(err))
+}
+
+// closeIfHalfOpen ends a connection that brings nothing, so that it is made
+// anew.
+func (l *link) closeIfHalfOpen(now time.Time) {
+	l.mu.Lock()
+	silent := now.Sub(l.readAt) > halfOpenAfter
+	l.mu.Unlock()
+	if silent {
+		l.close()
+	}
+}
+
 func result(f *frame, ok bool) ([]byte, error) {
 	if !ok {
 		return nil, merry.Wrap(ErrNoAnswer, merry.AppendMessage("connection ended"))
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sort"
 	"sync"
@@ -99,12 +100,26 @@
 			return ctx.Err()
 		}
 		if err != nil {
-			return merry.Prepend(err, "mesh: accept")
+			n.log.Warnf("No connection accepted: %v.", err)
+			if !pause(ctx, minRedial) {
+				return ctx.Err()
+			}
+			continue
 		}
 		go n.serve(ctx, conn)
 	}
 }
 
+// pause waits, and reports whether ctx has not ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // serve answers the calls of one peer.
 func (n *Node) serve(ctx context.Context, raw net.Conn) {
 	conn := tls.Server(n.metrics.count(raw), n.config)
@@ -152,7 +167,11 @@
 	} else {
 		reply.Body = body
 	}
-	if err := s.out.write(reply); err != nil {
+	err := s.out.write(reply)
+	if errors.Is(err, ErrCodec) {
+		err = s.out.write(&frame{ID: f.ID, Answer: true, Error: err.Error()})
+	}
+	if err != nil {
 		s.out.close()
 	}
 }
@@ -205,10 +224,7 @@
 		l, err := n.dial(ctx, p)
 		if err != nil {
 			n.log.Debugf("Peer %s not reached: %v.", p.Name, err)
-			select {
-			case <-time.After(retry.NextBackOff()):
-			case <-ctx.Done():
-			}
+			pause(ctx, retry.NextBackOff())
 			continue
 		}
 		retry.Reset()
