Keys: no key in logs, equal time for unknown keys; membership by relays and once per zone

Seen before: the handler of telemetry wrote a key that stood in a message or a field; every instance asked the platform for the list once a second.

--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -25,6 +25,10 @@
 	secretBytes = 32
 )
 
+// unknownHash stands for the hash of a key that does not exist, so that a check
+// of it takes as long as any other.
+var unknownHash = strings.Repeat("0", hex.EncodedLen(sha256.Size))
+
 // New returns a new key in the form shown to the caller, and its record without
 // an account.
 func New() (string, environment.Key) {
@@ -57,11 +61,12 @@
 		return nil, merry.Wrap(ErrUnauthorized)
 	}
 	record := view.Key(id)
-	stored := ""
+	stored := unknownHash
 	if record != nil {
 		stored = record.SHA256
 	}
-	if subtle.ConstantTimeCompare([]byte(hash(secret)), []byte(stored)) != 1 {
+	same := subtle.ConstantTimeCompare([]byte(hash(secret)), []byte(stored)) == 1
+	if !same || record == nil {
 		return nil, merry.Wrap(ErrUnauthorized)
 	}
 	return record, nil
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,141 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dotterellink/dotterellink/internal/membership"
+	"github.com/dotterellink/dotterellink/internal/mesh"
+	"github.com/dotterellink/dotterellink/internal/mesh/meshtest"
+	"github.com/dotterellink/dotterellink/internal/platform"
+	"github.com/dotterellink/dotterellink/internal/standin/platformstandin"
+	"github.com/dotterellink/dotterellink/internal/telemetry"
+)
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Membership Suite")
+}
+
+func fleetOf(zones, perZone int) []mesh.PeerAddress {
+	var out []mesh.PeerAddress
+	for z := range zones {
+		for n := range perZone {
+			out = append(out, mesh.PeerAddress{Peer: mesh.Peer{Name: fmt.Sprintf("i-%d-%d", z, n), Zone: fmt.Sprintf("zone-%d", z)}})
+		}
+	}
+	return out
+}
+
+var _ = Describe("ChoosePeers", func() {
+	It("connects today's fleet fully", func() {
+		fleet := fleetOf(3, 3)
+		for _, p := range fleet {
+			Expect(membership.ChoosePeers(p.Peer, fleet, membership.RelaysPerZone)).To(HaveLen(len(fleet) - 1))
+		}
+	})
+
+	It("connects 17 zones of 19 by relays, all links from both sides", func() {
+		fleet := fleetOf(17, 19)
+		links := make(map[string]map[string]bool)
+		total := 0
+		for _, p := range fleet {
+			links[p.Name] = make(map[string]bool)
+			for _, q := range membership.ChoosePeers(p.Peer, fleet, membership.RelaysPerZone) {
+				links[p.Name][q.Name] = true
+				total++
+			}
+		}
+		for from, peers := range links {
+			for to := range peers {
+				Expect(links[to][from]).To(BeTrue())
+			}
+		}
+		// 18 in each zone, and 3 relays of 17 zones to 3 of 16 others.
+		Expect(total).To(Equal(17*19*18 + 17*3*16*3))
+	})
+
+	It("knows itself as part of its zone when the list lags", func() {
+		self := mesh.Peer{Name: "new", Zone: "zone-0"}
+		Expect(membership.ChoosePeers(self, fleetOf(2, 1), membership.RelaysPerZone)).To(HaveLen(2))
+	})
+})
+
+// dialer records the peers that it was given.
+type dialer struct{ peers []mesh.PeerAddress }
+
+func (d *dialer) SetPeers(peers []mesh.PeerAddress) { d.peers = peers }
+
+var _ = Describe("Membership", func() {
+	var clock *clockwork.FakeClock
+	var network *meshtest.Network
+	var store *platformstandin.Store
+	ctx := context.Background()
+
+	join := func(name, zone string) (*membership.Membership, *dialer) {
+		d := &dialer{}
+		return membership.New(network.Join(name, zone), d, name+":1", store, clock, telemetry.Discard()), d
+	}
+	names := func(m *membership.Membership) []string {
+		var out []string
+		for _, member := range m.Members() {
+			out = append(out, member.Name)
+		}
+		return out
+	}
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		network = meshtest.NewNetwork()
+		store = platformstandin.NewStore(clock, 1)
+	})
+
+	It("hears peers, forgets silent ones and sees who leaves", func() {
+		a, _ := join("a", "zone-a")
+		b, _ := join("b", "zone-b")
+		a.Beat(ctx)
+		Eventually(func() []string { return names(b) }).Should(Equal([]string{"a", "b"}))
+		a.Leave()
+		a.Beat(ctx)
+		Eventually(func() bool { return b.Members()[0].Leaving }).Should(BeTrue())
+		network.CutZone("zone-a", true)
+		clock.Advance(membership.AliveFor + time.Millisecond)
+		Expect(names(b)).To(Equal([]string{"b"}))
+	})
+
+	It("dials peers that the list does not name, and keeps the last list in an outage", func() {
+		store.PutInstance(platform.InstanceRecord{Name: "b", Zone: "zone-a", MeshAddress: "b:1"})
+		store.PublishInstances()
+		a, _ := join("a", "zone-a")
+		b, dialed := join("b", "zone-a")
+		a.Beat(ctx)
+		Eventually(func() []string { return names(b) }).Should(HaveLen(2))
+		b.Refresh(ctx)
+		Expect(dialed.peers).To(ConsistOf(HaveField("Address", "a:1")))
+		store.RemoveInstance("b")
+		store.PublishInstances()
+		a.Refresh(ctx)
+		b.Refresh(ctx)
+		Expect(b.Listed()).To(ConsistOf(HaveField("Name", "b")))
+	})
+
+	It("asks the platform for the list once per zone", func() {
+		store.PutInstance(platform.InstanceRecord{Name: "a", Zone: "zone-a", MeshAddress: "a:1"})
+		store.PublishInstances()
+		a, _ := join("a", "zone-a")
+		b, _ := join("b", "zone-a")
+		a.Beat(ctx)
+		Eventually(func() []string { return names(b) }).Should(HaveLen(2))
+		Eventually(func() []string { return names(a) }).Should(HaveLen(2))
+		a.Refresh(ctx)
+		b.Refresh(ctx)
+		Expect(store.Stats().Reads).To(Equal(uint64(1)))
+		Expect(b.Listed()).To(Equal(a.Listed()))
+	})
+})
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -183,7 +183,11 @@
 	if err := conn.HandshakeContext(ctx); err != nil {
 		return Peer{}, err
 	}
-	name, zone, err := pki.Identity(conn.ConnectionState().PeerCertificates[0])
+	shown := conn.ConnectionState().PeerCertificates
+	if len(shown) == 0 {
+		return Peer{}, merry.Wrap(pki.ErrIdentity)
+	}
+	name, zone, err := pki.Identity(shown[0])
 	return Peer{Name: name, Zone: zone}, err
 }
 
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -2,12 +2,15 @@
 package telemetry
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/apex/log/handlers/logfmt"
+
+	"github.com/dotterellink/dotterellink/internal/redact"
 )
 
 // ErrSetup means that logs or traces could not be set up.
@@ -24,7 +27,29 @@
 	if format == "json" {
 		handler = json.New(out)
 	}
-	return &log.Logger{Handler: handler, Level: parsed}, nil
+	return &log.Logger{Handler: &redactingHandler{next: handler}, Level: parsed}, nil
+}
+
+// redactingHandler removes callers' keys from messages and fields.
+type redactingHandler struct{ next log.Handler }
+
+// HandleLog implements log.Handler.
+func (h *redactingHandler) HandleLog(e *log.Entry) error {
+	clean := *e
+	clean.Message = redact.Keys(e.Message)
+	clean.Fields = make(log.Fields, len(e.Fields))
+	for name, value := range e.Fields {
+		clean.Fields[name] = redactValue(value)
+	}
+	return h.next.HandleLog(&clean)
+}
+
+// redactValue leaves values alone whose text holds no key.
+func redactValue(value any) any {
+	if text := fmt.Sprint(value); redact.HasKey(text) {
+		return redact.Keys(text)
+	}
+	return value
 }
 
 // Discard returns a logger that drops everything, for tests.
