--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -1,16 +1,19 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/labstack/echo/v4"
 
+	"github.com/dotterellink/dotterellink/internal/idempotency"
 	"github.com/dotterellink/dotterellink/internal/keys"
 	"github.com/dotterellink/dotterellink/internal/quota"
 	"github.com/dotterellink/dotterellink/internal/relay"
@@ -23,13 +26,26 @@
 
 // Values of HeaderOutcome.
 const (
-	OutcomeNotRun  = "not-run"
+	// OutcomeNotRun means that nothing was sent to a target, or that the target
+	// answered that it did not run the request.
+	OutcomeNotRun = "not-run"
+	// OutcomeUnknown means that the request may have run.
 	OutcomeUnknown = "unknown"
-	OutcomeBroken  = "broken"
+	// OutcomeBroken means that a model's answer broke off.
+	OutcomeBroken = "broken"
+	// OutcomeInProgress means that an earlier request under the same
+	// Idempotency-Key is running.
+	OutcomeInProgress = "in-progress"
 )
 
 const defaultRetryAfter = time.Second
 
+// statusClientClosed is counted for callers that left; nobody reads it.
+const statusClientClosed = 499
+
+// retryHint is implemented by errors that know when a repeat makes sense.
+type retryHint interface{ RetryAfterHint() time.Duration }
+
 // ErrStale means that the instance cannot tell whether what it knows is still
 // in force.
 var ErrStale = merry.Sentinel("entry: environment not confirmed")
@@ -93,45 +109,74 @@
 	}
 }
 
+func invalidRequest(status int, code, message string) *apiError {
+	return &apiError{status: status, kind: "invalid_request_error", code: code, message: message, outcome: OutcomeNotRun}
+}
+
 // toAPIError turns errors of the layers below into answers.
 func toAPIError(err error) *apiError {
 	var api *apiError
 	if errors.As(err, &api) {
 		return api
 	}
+	api = classify(err)
+	var hint retryHint
+	if api.retryAfter > 0 && errors.As(err, &hint) && hint.RetryAfterHint() > 0 {
+		api.retryAfter = hint.RetryAfterHint()
+	}
+	return api
+}
+
+// classify returns the answer to a failure without the hint of its cause.
+// Every answer that states OutcomeNotRun comes from an error that says so.
+func classify(err error) *apiError {
+	var http4xx *echo.HTTPError
+	switch {
+	case errors.Is(err, quota.ErrRefused):
+		return quotaError(err)
+	case errors.Is(err, keys.ErrUnauthorized):
+		return &apiError{status: http.StatusUnauthorized, kind: "authentication_error", code: "invalid_api_key", message: "no valid key in the Authorization header", outcome: OutcomeNotRun}
+	case errors.Is(err, ErrStale):
+		return unavailable("environment_not_confirmed", "this zone is cut off; the request was not run", defaultRetryAfter)
+	case errors.As(err, &http4xx):
+		return invalidRequest(http4xx.Code, codeOf(http4xx.Code), fmt.Sprint(http4xx.Message))
+	case errors.Is(err, idempotency.ErrMismatch):
+		return &apiError{status: http.StatusUnprocessableEntity, kind: "invalid_request_error", code: "idempotency_key_reused", param: HeaderIdempotencyKey, message: HeaderIdempotencyKey + ": was used for another request; this one was not run", outcome: OutcomeNotRun}
+	case errors.Is(err, idempotency.ErrInProgress):
+		return &apiError{status: http.StatusConflict, kind: "invalid_request_error", code: "request_in_progress", param: HeaderIdempotencyKey, message: HeaderIdempotencyKey + ": an earlier request under this key is running", outcome: OutcomeInProgress, retryAfter: defaultRetryAfter}
+	case errors.Is(err, idempotency.ErrUnavailable):
+		return unavailable("claim_unavailable", "the idempotency key could not be claimed; the request was not run", defaultRetryAfter)
+	}
+	return relayError(err)
+}
+
+func codeOf(status int) string {
+	return strings.ReplaceAll(strings.ToLower(http.StatusText(status)), " ", "_")
+}
+
+func quotaError(err error) *apiError {
+	after := defaultRetryAfter
 	var refused *quota.RefusedError
 	if errors.As(err, &refused) {
-		return &apiError{
-			status:     http.StatusTooManyRequests,
-			kind:       "rate_limit_error",
-			code:       "rate_limit_exceeded",
-			message:    "the account's rate is used up; the request was not run",
-			outcome:    OutcomeNotRun,
-			retryAfter: refused.RetryAfter,
-		}
+		after = max(after, refused.RetryAfter)
 	}
-	if errors.Is(err, keys.ErrUnauthorized) {
-		return &apiError{
-			status:  http.StatusUnauthorized,
-			kind:    "authentication_error",
-			code:    "invalid_api_key",
-			message: "no valid key in the Authorization header",
-			outcome: OutcomeNotRun,
-		}
+	return &apiError{
+		status:     http.StatusTooManyRequests,
+		kind:       "rate_limit_error",
+		code:       "rate_limit_exceeded",
+		message:    "the account's rate is used up; the request was not run",
+		outcome:    OutcomeNotRun,
+		retryAfter: after,
 	}
-	return relayError(err)
 }
 
 func relayError(err error) *apiError {
 	var invalid *target.InvalidError
-	var http4xx *echo.HTTPError
 	switch {
 	case errors.As(err, &invalid):
-		return &apiError{status: http.StatusBadRequest, kind: "invalid_request_error", message: "the model refused the request: " + string(invalid.Body)}
-	case errors.As(err, &http4xx):
-		return &apiError{status: http4xx.Code, kind: "invalid_request_error", message: fmt.Sprint(http4xx.Message), outcome: OutcomeNotRun}
-	case errors.Is(err, ErrStale):
-		return unavailable("environment_not_confirmed", "this zone is cut off; the request was not run", defaultRetryAfter)
+		return &apiError{status: http.StatusBadRequest, kind: "invalid_request_error", code: "refused_by_model", message: "the model refused the request: " + keys.Redact(string(invalid.Body)), outcome: OutcomeNotRun}
+	case errors.Is(err, context.DeadlineExceeded):
+		return deadlineError(err)
 	case errors.Is(err, relay.ErrNotRun) && errors.Is(err, routing.ErrNoTarget):
 		return unavailable("no_target", "no target serves the request now; it was not run", defaultRetryAfter)
 	case errors.Is(err, relay.ErrNotRun):
@@ -140,10 +185,24 @@
 		return &apiError{status: http.StatusBadGateway, kind: "server_error", code: "answer_broken", message: "the answer broke off", outcome: OutcomeBroken}
 	case errors.Is(err, relay.ErrOutcomeUnknown):
 		return &apiError{status: http.StatusBadGateway, kind: "server_error", code: "outcome_unknown", message: "the request may have run; its answer was lost", outcome: OutcomeUnknown}
+	case errors.Is(err, context.Canceled):
+		return &apiError{status: statusClientClosed, kind: "server_error", code: "caller_left", message: "the caller left", outcome: OutcomeUnknown}
 	}
 	return &apiError{status: http.StatusInternalServerError, kind: "server_error", code: "internal", message: "internal error", outcome: OutcomeUnknown}
 }
 
+// deadlineError answers a request that was given up at its deadline. Service
+// calls that may have run keep the status of unknown outcomes.
+func deadlineError(err error) *apiError {
+	switch {
+	case errors.Is(err, relay.ErrNotRun):
+		return &apiError{status: http.StatusGatewayTimeout, kind: "server_error", code: "deadline_exceeded", message: "the deadline passed; the request was not run", outcome: OutcomeNotRun, retryAfter: defaultRetryAfter}
+	case errors.Is(err, relay.ErrOutcomeUnknown):
+		return &apiError{status: http.StatusBadGateway, kind: "server_error", code: "deadline_exceeded", message: "the deadline passed; the request may have run", outcome: OutcomeUnknown}
+	}
+	return &apiError{status: http.StatusGatewayTimeout, kind: "server_error", code: "deadline_exceeded", message: "the deadline passed before the whole answer", outcome: OutcomeBroken, retryAfter: defaultRetryAfter}
+}
+
 // handleError writes the answer of a failed request.
 func (s *Server) handleError(err error, c echo.Context) {
 	if c.Response().Committed {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/dotterellink/dotterellink/internal/keys"
 	"github.com/dotterellink/dotterellink/internal/telemetry"
 )
 
@@ -93,9 +94,9 @@
 
 const requestIDKey = "request-id"
 
-// requestID takes a caller's identifier if it is short and printable.
+// requestID takes a caller's identifier if it is short, printable and no key.
 func requestID(given string) string {
-	if given == "" || len(given) > maxRequestIDBytes {
+	if given == "" || len(given) > maxRequestIDBytes || keys.Leaks(given) {
 		return uuid.NewString()
 	}
 	for _, r := range given {
--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -3,12 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -32,16 +31,63 @@
 // modelRequest holds the fields of an OpenAI request that are checked here. All
 // other fields go to the engine as they are.
 type modelRequest struct {
-	Model               string          `json:"model"`
-	Stream              bool            `json:"stream"`
-	N                   *int            `json:"n"`
-	BestOf              *int            `json:"best_of"`
-	MaxTokens           *int64          `json:"max_tokens"`
-	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
-	Messages            json.RawMessage `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
-	Input               json.RawMessage `json:"input"`
-	Tools               json.RawMessage `json:"tools"`
+	fields              fields
+	Model               string
+	Stream              bool
+	IncludeUsage        bool
+	N                   *int
+	BestOf              *int
+	MaxTokens           *int64
+	MaxCompletionTokens *int64
+	Messages            json.RawMessage
+	Prompt              json.RawMessage
+	Input               json.RawMessage
+	Tools               json.RawMessage
+}
+
+// parseModelRequest decodes the checked fields of body.
+func parseModelRequest(body []byte) (*modelRequest, error) {
+	f, err := parseFields(body)
+	if err != nil {
+		return nil, err
+	}
+	r := &modelRequest{fields: f, Messages: f["messages"], Prompt: f["prompt"], Input: f["input"], Tools: f["tools"]}
+	for _, member := range []struct {
+		name string
+		out  any
+	}{
+		{"model", &r.Model},
+		{"stream", &r.Stream},
+		{"n", &r.N},
+		{"best_of", &r.BestOf},
+		{"max_tokens", &r.MaxTokens},
+		{"max_completion_tokens", &r.MaxCompletionTokens},
+	} {
+		if err := f.read(member.name, member.out); err != nil {
+			return nil, err
+		}
+	}
+	if err := r.readStreamOptions(); err != nil {
+		return nil, err
+	}
+	return r, f.refuseKeys("user", "metadata")
+}
+
+func (m *modelRequest) readStreamOptions() error {
+	var options *struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	if err := m.fields.read("stream_options", &options); err != nil {
+		return err
+	}
+	if options == nil {
+		return nil
+	}
+	if !m.Stream {
+		return badField("stream_options", "needs stream to be true")
+	}
+	m.IncludeUsage = options.IncludeUsage
+	return nil
 }
 
 // prompt returns the part of the request that becomes prompt tokens.
@@ -51,11 +97,14 @@
 
 // admitted is a checked request of an account.
 type admitted struct {
-	account  string
-	model    *environment.Model
-	request  *modelRequest
-	body     []byte
-	prompt   []byte
+	account string
+	model   *environment.Model
+	request *modelRequest
+	body    []byte
+	prompt  []byte
+	// limit is the most tokens that the engine may generate.
+	limit int64
+	// reserved bounds prompt and generated tokens together.
 	reserved int64
 	class    routing.Class
 	deadline time.Time
@@ -96,7 +145,7 @@
 		}
 		s.demand.Note(a.request.Model, a.reserved)
 		result, err := s.runModelCall(c, kind, a, started)
-		used := usedTokens(a, result, err)
+		used := usedTokens(a, result)
 		reservation.Settle(used)
 		s.metrics.tokens.WithLabelValues(account).Add(float64(used))
 		return err
@@ -108,15 +157,18 @@
 	if err != nil {
 		return nil, err
 	}
-	var request modelRequest
-	if err := json.Unmarshal(body, &request); err != nil {
-		return nil, jsonError(err)
+	request, err := parseModelRequest(body)
+	if err != nil {
+		return nil, err
+	}
+	if request.Model == "" {
+		return nil, badField("model", "must not be empty")
 	}
 	model, _ := s.views.View().Resolve(request.Model)
 	if model == nil {
 		return nil, &apiError{status: http.StatusNotFound, kind: "invalid_request_error", code: "model_not_found", param: "model", message: fmt.Sprintf("model: no model %q", request.Model), outcome: OutcomeNotRun}
 	}
-	a := &admitted{account: account, model: model, request: &request, prompt: request.prompt()}
+	a := &admitted{account: account, model: model, request: request, prompt: request.prompt()}
 	if a.class, a.deadline, err = s.urgency(c); err != nil {
 		return nil, err
 	}
@@ -124,30 +176,11 @@
 	if err != nil {
 		return nil, err
 	}
-	a.body, err = rewrite(kind, body, limit, request.Stream)
+	a.limit = limit
+	a.body, err = request.rewrite(kind, limit)
 	return a, err
 }
 
-func readBody(c echo.Context) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &apiError{status: http.StatusRequestEntityTooLarge, kind: "invalid_request_error", code: "body_too_large", message: "the body exceeds 4 MiB", outcome: OutcomeNotRun}
-	}
-	if err != nil {
-		return nil, &apiError{status: http.StatusBadRequest, kind: "invalid_request_error", message: "the body could not be read", outcome: OutcomeNotRun}
-	}
-	return body, nil
-}
-
-func jsonError(err error) error {
-	var mismatch *json.UnmarshalTypeError
-	if errors.As(err, &mismatch) {
-		return badField(mismatch.Field, "must be of type %s, not %s", mismatch.Type, mismatch.Value)
-	}
-	return badField("body", "is no JSON object: %v", err)
-}
-
 // urgency reads the class and the deadline.
 func (s *Server) urgency(c echo.Context) (routing.Class, time.Time, error) {
 	class := routing.ClassInteractive
@@ -173,11 +206,14 @@
 // tokens that goes to the engine.
 func checkLimits(kind target.Kind, a *admitted) (int64, error) {
 	r := a.request
-	if (r.N != nil && *r.N != 1) || (r.BestOf != nil && *r.BestOf != 1) {
-		return 0, badField("n", "only one choice is supported")
+	if r.N != nil && *r.N != 1 {
+		return 0, badField("n", "must be 1")
 	}
-	if len(a.prompt) == 0 {
-		return 0, badField(promptField(kind), "must not be empty")
+	if r.BestOf != nil && *r.BestOf != 1 {
+		return 0, badField("best_of", "must be 1")
+	}
+	if err := checkPrompt(kind, r); err != nil {
+		return 0, err
 	}
 	limit := a.model.DefaultMaxTokens
 	if r.MaxTokens != nil {
@@ -187,26 +223,44 @@
 		limit = *r.MaxCompletionTokens
 	}
 	if kind == target.KindEmbedding {
+		if r.Stream {
+			return 0, badField("stream", "is not supported for embeddings")
+		}
 		limit = 0
 	} else if limit < 1 {
-		return 0, badField("max_tokens", "must be positive")
+		return 0, badField(limitField(r), "must be positive")
 	}
 	promptTokens := promptBound(a.model, len(a.prompt))
 	if limit > a.model.ContextTokens {
-		return 0, badField("max_tokens", "exceeds the model's context of %d tokens", a.model.ContextTokens)
+		return 0, badField(limitField(r), "exceeds the model's context of %d tokens", a.model.ContextTokens)
 	}
 	a.reserved = promptTokens + limit
 	return limit, nil
 }
 
-func promptField(kind target.Kind) string {
+func limitField(r *modelRequest) string {
+	if r.MaxCompletionTokens != nil {
+		return "max_completion_tokens"
+	}
+	return "max_tokens"
+}
+
+// checkPrompt checks the shape of the field that holds the prompt.
+func checkPrompt(kind target.Kind, r *modelRequest) error {
+	name, raw, allowed := "messages", r.Messages, "["
 	switch kind {
 	case target.KindCompletion:
-		return "prompt"
+		name, raw, allowed = "prompt", r.Prompt, "[\""
 	case target.KindEmbedding:
-		return "input"
+		name, raw, allowed = "input", r.Input, "[\""
 	}
-	return "messages"
+	switch {
+	case len(raw) == 0, string(raw) == "null", string(raw) == "[]", string(raw) == `""`:
+		return badField(name, "must not be empty")
+	case !strings.ContainsRune(allowed, rune(raw[0])):
+		return badField(name, "must be of another type: %s", strings.NewReplacer("[", "array ", "\"", "string ").Replace(allowed))
+	}
+	return nil
 }
 
 // promptBound is the most tokens that a prompt can have.
@@ -218,40 +272,34 @@
 	return int64(math.Ceil(float64(size) * perByte))
 }
 
-// fields is a JSON object whose unknown members are passed on untouched.
-type fields map[string]json.RawMessage
-
-// rewrite sets the token limit and asks for the usage of streams.
-func rewrite(kind target.Kind, body []byte, limit int64, stream bool) ([]byte, error) {
-	if kind == target.KindEmbedding {
-		return body, nil
-	}
-	var f fields
-	if err := json.Unmarshal(body, &f); err != nil {
-		return nil, jsonError(err)
+// rewrite returns the request for the engine: with the token limit that was
+// reserved, and always asking for the usage of streams.
+func (m *modelRequest) rewrite(kind target.Kind, limit int64) ([]byte, error) {
+	if kind != target.KindEmbedding {
+		delete(m.fields, "max_completion_tokens")
+		m.fields["max_tokens"] = json.RawMessage(strconv.FormatInt(limit, 10))
 	}
-	delete(f, "max_completion_tokens")
-	f["max_tokens"] = json.RawMessage(strconv.FormatInt(limit, 10))
-	if stream {
-		f["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	if m.Stream {
+		m.fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
 	}
-	return json.Marshal(f)
+	return json.Marshal(m.fields)
 }
 
 func (s *Server) runModelCall(c echo.Context, kind target.Kind, a *admitted, started time.Time) (relay.Result, error) {
 	ctx, cancel := withDeadline(c.Request().Context(), s.clock, a.deadline)
 	defer cancel()
-	sink := &responseSink{server: s, context: c, stream: a.request.Stream, started: started}
+	sink := &responseSink{server: s, context: c, stream: a.request.Stream, usage: a.request.IncludeUsage, started: started}
 	result, err := s.relay.Generate(ctx, &relay.Call{
-		ID:       c.Get(requestIDKey).(string),
-		Account:  a.account,
-		Served:   a.request.Model,
-		Kind:     kind,
-		Body:     a.body,
-		Stream:   a.request.Stream,
-		Class:    a.class,
-		Deadline: a.deadline,
-		Prefixes: target.PrefixHashes(a.prompt),
+		ID:        c.Get(requestIDKey).(string),
+		Account:   a.account,
+		Served:    a.request.Model,
+		Kind:      kind,
+		Body:      a.body,
+		Stream:    a.request.Stream,
+		Class:     a.class,
+		Deadline:  a.deadline,
+		Prefixes:  target.PrefixHashes(a.prompt),
+		MaxTokens: a.limit,
 	}, sink)
 	if err != nil {
 		return result, sink.fail(err)
@@ -260,17 +308,16 @@
 }
 
 // usedTokens is the true count of a call: the engine's, or a bound where it
-// gave none.
-func usedTokens(a *admitted, result relay.Result, err error) int64 {
+// gave none: the prompt's bound and the tokens received of a stream, and all
+// that was reserved of an answer in one part.
+func usedTokens(a *admitted, result relay.Result) int64 {
 	switch {
 	case result.Usage != nil:
 		return result.Usage.PromptTokens + result.Usage.CompletionTokens
 	case !result.Sent:
 		return 0
 	case a.request.Stream:
-		return promptBound(a.model, len(a.prompt)) + result.Generated
-	case err == nil:
-		return a.reserved
+		return min(a.reserved, promptBound(a.model, len(a.prompt))+result.Generated)
 	}
 	return a.reserved
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -24,10 +24,13 @@
 	maxBodyBytes      = 4 << 20
 	maxHeaderBytes    = 32 << 10
 	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 120 * time.Second
-	defaultDeadline   = 120 * time.Second
-	maxDeadline       = 600 * time.Second
+	bodyTimeout       = 30 * time.Second
+	// writeTimeout bounds each write to a caller, so that one that reads nothing
+	// cannot hold a slot on a target.
+	writeTimeout    = 30 * time.Second
+	idleTimeout     = 120 * time.Second
+	defaultDeadline = 120 * time.Second
+	maxDeadline     = 600 * time.Second
 )
 
 // Views returns the environment in force, or an error if the instance must not
@@ -101,7 +104,7 @@
 	}
 	s.echo.HideBanner = true
 	s.echo.HTTPErrorHandler = s.handleError
-	s.echo.Use(s.observe)
+	s.echo.Use(s.observe, checkPath)
 	s.echo.GET("/healthz", s.healthz)
 	s.echo.GET("/readyz", s.readyz)
 	s.echo.GET("/v1/models", s.listModels)
@@ -116,12 +119,13 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
 
-// HTTPServer returns an http.Server with the limits of this package.
+// HTTPServer returns an http.Server with the limits of this package. It has no
+// ReadTimeout and no WriteTimeout, which would end long streams; handlers bound
+// the reading of bodies and each write.
 func (s *Server) HTTPServer() *http.Server {
 	return &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -1,13 +1,18 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
+	"net/url"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"github.com/dotterellink/dotterellink/internal/keys"
 	"github.com/dotterellink/dotterellink/internal/relay"
+	"github.com/dotterellink/dotterellink/internal/target"
 )
 
 // HeaderIdempotencyKey names a caller's own key of a request.
@@ -31,27 +36,46 @@
 	if err != nil {
 		return err
 	}
-	header := c.Response().Header()
+	return writeReply(c, reply)
+}
+
+// writeReply passes the service's answer on as it is, whatever its status.
+func writeReply(c echo.Context, reply *target.ServiceReply) error {
+	response := c.Response()
+	header := response.Header()
 	for name, values := range reply.Header {
-		if !isHopByHop(name) && name != HeaderRequestID {
-			header[name] = values
+		if isHopByHop(name) || name == HeaderRequestID || name == HeaderOutcome {
+			continue
 		}
+		header[name] = values
+	}
+	header.Set(echo.HeaderContentLength, strconv.Itoa(len(reply.Body)))
+	if c.Request().Method == http.MethodHead || reply.Status == http.StatusNoContent || reply.Status == http.StatusNotModified {
+		header.Del(echo.HeaderContentLength)
 	}
-	return c.Blob(reply.Status, reply.Header.Get(echo.HeaderContentType), reply.Body)
+	_ = http.NewResponseController(response.Writer).SetWriteDeadline(time.Now().Add(writeTimeout))
+	response.WriteHeader(reply.Status)
+	_, err := response.Write(reply.Body)
+	return err
 }
 
+const servicePrefix = "/services/"
+
 func (s *Server) readServiceCall(c echo.Context, account string) (*relay.ServiceCall, error) {
 	request := c.Request()
-	service := s.views.View().Service(c.Param("name"))
+	name, rest, _ := strings.Cut(strings.TrimPrefix(request.URL.Path, servicePrefix), "/")
+	path := "/" + rest
+	service := s.views.View().Service(name)
 	if service == nil {
-		return nil, &apiError{status: http.StatusNotFound, kind: "invalid_request_error", code: "service_not_found", message: "no service " + c.Param("name"), outcome: OutcomeNotRun}
+		return nil, invalidRequest(http.StatusNotFound, "service_not_found", fmt.Sprintf("path: no service %q", keys.Redact(name)))
 	}
+	idempotent := service.IsIdempotent(request.Method, path)
 	idempotencyKey := request.Header.Get(HeaderIdempotencyKey)
-	if len(idempotencyKey) > maxIdempotencyKeyBytes {
-		return nil, badField(HeaderIdempotencyKey, "must have at most %d bytes", maxIdempotencyKeyBytes)
+	if err := checkIdempotencyKey(idempotencyKey, account, idempotent); err != nil {
+		return nil, err
 	}
-	if keys.Leaks(request.URL.RawQuery) {
-		return nil, badField("query", "must not hold a key")
+	if err := refuseKeyInURL(request.URL); err != nil {
+		return nil, err
 	}
 	_, deadline, err := s.urgency(c)
 	if err != nil {
@@ -61,7 +85,6 @@
 	if err != nil {
 		return nil, err
 	}
-	path := "/" + c.Param("*")
 	return &relay.ServiceCall{
 		ID:             c.Get(requestIDKey).(string),
 		Account:        account,
@@ -71,18 +94,50 @@
 		RawQuery:       request.URL.RawQuery,
 		Header:         forwardedHeader(request.Header),
 		Body:           body,
-		Idempotent:     service.IsIdempotent(request.Method, path),
+		Idempotent:     idempotent,
 		IdempotencyKey: idempotencyKey,
 		Deadline:       deadline,
 	}, nil
 }
 
+func checkIdempotencyKey(key, account string, idempotent bool) error {
+	if key == "" {
+		return nil
+	}
+	if len(key) > maxIdempotencyKeyBytes {
+		return badField(HeaderIdempotencyKey, "must have at most %d bytes", maxIdempotencyKeyBytes)
+	}
+	if keys.Leaks(key) {
+		return badField(HeaderIdempotencyKey, "must not hold a key")
+	}
+	if account == "" && !idempotent {
+		// Callers of open routes could read each other's answers.
+		return badField(HeaderIdempotencyKey, "needs a request with an account's key")
+	}
+	return nil
+}
+
+func refuseKeyInURL(u *url.URL) error {
+	if keys.Leaks(u.Path) {
+		return badField("path", "must not hold a key")
+	}
+	plain, err := url.QueryUnescape(u.RawQuery)
+	if err != nil {
+		return badField("query", "is malformed")
+	}
+	if keys.Leaks(u.RawQuery) || keys.Leaks(plain) {
+		return badField("query", "must not hold a key")
+	}
+	return nil
+}
+
 // forwardedHeader returns the headers that a plain service may see: none that
 // holds a caller's credentials or belongs to the connection.
 func forwardedHeader(in http.Header) http.Header {
 	out := make(http.Header, len(in))
+	nominated := strings.ToLower(strings.Join(in["Connection"], ","))
 	for name, values := range in {
-		if isHopByHop(name) || keys.IsCredentialHeader(name) || name == HeaderRequestID {
+		if isNominated(nominated, name) || isHopByHop(name) || keys.IsCredentialHeader(name) || name == HeaderRequestID {
 			continue
 		}
 		if keys.Leaks(strings.Join(values, " ")) {
@@ -93,6 +148,19 @@
 	return out
 }
 
+// isNominated reports whether the Connection header, in lower case, lists name.
+func isNominated(connection, name string) bool {
+	if connection == "" {
+		return false
+	}
+	for field := range strings.SplitSeq(connection, ",") {
+		if strings.TrimSpace(field) == strings.ToLower(name) {
+			return true
+		}
+	}
+	return false
+}
+
 func isHopByHop(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host":
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -14,13 +14,17 @@
 	"github.com/dotterellink/dotterellink/internal/target/httptarget"
 )
 
-// responseSink writes an answer to the caller.
+// responseSink writes an answer to the caller. It is used by one goroutine.
 type responseSink struct {
 	server  *Server
 	context echo.Context
 	stream  bool
-	started time.Time
-	written bool
+	// usage is set if the caller asked for the usage of its stream.
+	usage      bool
+	started    time.Time
+	written    bool
+	controller *http.ResponseController
+	buffer     []byte
 }
 
 // Chunk implements relay.Sink.
@@ -29,29 +33,91 @@
 		s.server.metrics.firstToken.Observe(s.server.clock.Since(s.started).Seconds())
 	}
 	if !s.stream {
-		s.written = true
-		return s.context.JSONBlob(http.StatusOK, chunk.Data)
+		return s.whole(chunk.Data)
 	}
-	s.begin()
-	if _, err := fmt.Fprintf(s.context.Response(), "data: %s\n\n", chunk.Data); err != nil {
+	if chunk.Usage == nil {
+		return s.event(chunk.Data)
+	}
+	return s.last(chunk)
+}
+
+func (s *responseSink) whole(data []byte) error {
+	s.begin(echo.MIMEApplicationJSON)
+	_, err := s.context.Response().Write(data)
+	return err
+}
+
+// last writes a chunk that holds the usage. Callers get the usage only if they
+// asked for it, and in a chunk of its own.
+func (s *responseSink) last(chunk target.Chunk) error {
+	parts, err := splitUsage(chunk.Data)
+	if err != nil {
 		return err
 	}
-	return s.flush()
+	if parts.rest != nil {
+		if err := s.event(parts.rest); err != nil {
+			return err
+		}
+	}
+	if s.usage {
+		return s.event(parts.usage)
+	}
+	return nil
+}
+
+// usageParts are the two chunks made of one that holds choices and usage. The
+// rest is nil if the chunk has no choices.
+type usageParts struct {
+	rest  []byte
+	usage []byte
+}
+
+func splitUsage(data []byte) (usageParts, error) {
+	var parts usageParts
+	f, err := parseFields(data)
+	if err != nil {
+		return parts, err
+	}
+	usage, choices := f["usage"], f["choices"]
+	delete(f, "usage")
+	if len(choices) > 0 && string(choices) != "[]" && string(choices) != "null" {
+		if parts.rest, err = json.Marshal(f); err != nil {
+			return parts, err
+		}
+	}
+	f["usage"], f["choices"] = usage, json.RawMessage("[]")
+	parts.usage, err = json.Marshal(f)
+	return parts, err
 }
 
-func (s *responseSink) begin() {
+func (s *responseSink) begin(contentType string) {
+	if s.controller == nil {
+		s.controller = http.NewResponseController(s.context.Response().Writer)
+	}
+	// Connections that take no deadline are those of tests.
+	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if s.written {
 		return
 	}
 	s.written = true
 	response := s.context.Response()
-	response.Header().Set(echo.HeaderContentType, "text/event-stream")
+	response.Header().Set(echo.HeaderContentType, contentType)
 	response.Header().Set(echo.HeaderCacheControl, "no-store")
 	response.WriteHeader(http.StatusOK)
 }
 
-func (s *responseSink) flush() error {
-	return http.NewResponseController(s.context.Response().Writer).Flush()
+const mimeEventStream = "text/event-stream"
+
+// event writes one server-sent event at once.
+func (s *responseSink) event(data []byte) error {
+	s.begin(mimeEventStream)
+	s.buffer = append(s.buffer[:0], "data: "...)
+	s.buffer = append(s.buffer, data...)
+	s.buffer = append(s.buffer, "\n\n"...)
+	if _, err := s.context.Response().Write(s.buffer); err != nil {
+		return err
+	}
+	return s.controller.Flush()
 }
 
 // end completes the answer.
@@ -59,11 +125,7 @@
 	if !s.stream {
 		return nil
 	}
-	s.begin()
-	if _, err := fmt.Fprintf(s.context.Response(), "data: %s\n\n", httptarget.EndMark); err != nil {
-		return err
-	}
-	return s.flush()
+	return s.event([]byte(httptarget.EndMark))
 }
 
 // fail tells the caller that a stream broke off: by an error event if parts of
@@ -78,7 +140,7 @@
 		return err
 	}
 	if _, writeErr := fmt.Fprintf(s.context.Response(), "event: error\ndata: %s\n\n", data); writeErr == nil {
-		_ = s.flush()
+		_ = s.controller.Flush()
 	}
 	return err
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,17 +6,20 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
+	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/dotterellink/dotterellink/internal/routing"
 	"github.com/dotterellink/dotterellink/internal/target"
-	"github.com/dotterellink/dotterellink/internal/telemetry"
 )
 
 // Errors of the relay. Each tells the caller whether the call ran.
@@ -31,6 +34,8 @@
 	// ErrInvalid means that the target refused the call as malformed. The cause
 	// is a target.InvalidError.
 	ErrInvalid = merry.Sentinel("relay: call invalid")
+	// ErrInactive means that a target sent nothing for too long.
+	ErrInactive = merry.Sentinel("relay: target inactive")
 )
 
 // maxAttempts bounds the targets tried for one call.
@@ -43,6 +48,8 @@
 
 // Call is one admitted model call.
 type Call struct {
+	// ID is the request's identifier in logs and spans. Targets get the
+	// identifiers of attempts, which no caller can choose.
 	ID       string
 	Account  string
 	Served   string
@@ -52,9 +59,12 @@
 	Class    routing.Class
 	Deadline time.Time
 	Prefixes []target.PrefixHash
+	// MaxTokens is the limit of generated tokens that Body states.
+	MaxTokens int64
 }
 
-// Sink takes the chunks of an answer in order.
+// Sink takes the chunks of an answer in order. A chunk is valid until Chunk
+// returns.
 type Sink interface {
 	Chunk(chunk target.Chunk) error
 }
@@ -63,127 +73,122 @@
 type Result struct {
 	// Usage is the engine's own count; nil if it gave none.
 	Usage *target.Usage
-	// Generated is the number of tokens that were received.
+	// Generated is the number of tokens that were received, each once.
 	Generated int64
 	// Sent is set once any attempt may have reached a target.
 	Sent bool
 }
 
+// Config holds what a relay is made of.
+type Config struct {
+	Picker   Picker
+	Engines  target.ModelCaller
+	Services target.ServiceCaller
+	Clock    clockwork.Clock
+	Tracer   trace.Tracer
+	Log      *log.Logger
+	// Metrics may be nil.
+	Metrics prometheus.Registerer
+	// Jitter returns numbers from 0 to 1 that spread retries; nil is random.
+	Jitter func() float64
+}
+
 // Relay is safe for concurrent use.
 type Relay struct {
 	picker   Picker
 	engines  target.ModelCaller
 	services target.ServiceCaller
+	clock    clockwork.Clock
 	tracer   trace.Tracer
 	log      *log.Logger
+	jitter   func() float64
+	metrics  *metrics
+	budget   *retryBudget
+
+	idPrefix string
+	attempts atomic.Uint64
 }
 
 // New returns a relay.
-func New(picker Picker, engines target.ModelCaller, services target.ServiceCaller, tracer trace.Tracer, logger *log.Logger) *Relay {
-	return &Relay{picker: picker, engines: engines, services: services, tracer: tracer, log: logger}
-}
-
-// Generate runs a model call and hands its answer to sink.
-func (r *Relay) Generate(ctx context.Context, call *Call, sink Sink) (Result, error) {
-	var result Result
-	var exclude []string
-	var last error
-	for attempt := range maxAttempts {
-		slot, err := r.picker.Pick(ctx, routing.Request{
-			Served:   call.Served,
-			Account:  call.Account,
-			Class:    call.Class,
-			Deadline: call.Deadline,
-			Prefixes: call.Prefixes,
-			Exclude:  exclude,
-		})
-		if err != nil {
-			return result, notRunUnless(last, err)
-		}
-		a := &attemptRun{relay: r, call: call, sink: sink, result: &result, number: attempt}
-		last = a.run(ctx, slot)
-		if last == nil || !a.isRepeatable(last) {
-			return result, last
-		}
-		r.log.Debugf("Call %s repeated after %s: %v.", call.ID, slot.Target.Name, last)
-		exclude = append(exclude, slot.Target.Name)
+func New(c Config) *Relay {
+	r := &Relay{
+		picker:   c.Picker,
+		engines:  c.Engines,
+		services: c.Services,
+		clock:    c.Clock,
+		tracer:   c.Tracer,
+		log:      c.Log,
+		jitter:   c.Jitter,
+		metrics:  newMetrics(c.Metrics),
+		budget:   newRetryBudget(c.Clock),
+		idPrefix: uuid.NewString() + "-",
 	}
-	return result, last
-}
-
-// notRunUnless keeps the error of an earlier attempt, whose outcome counts for
-// the whole call.
-func notRunUnless(last, err error) error {
-	if last != nil {
-		return last
+	if r.jitter == nil {
+		r.jitter = rand.Float64
 	}
-	return merry.Wrap(ErrNotRun, merry.WithCause(err))
+	return r
 }
 
-// attemptRun is one attempt at one target.
-type attemptRun struct {
-	relay     *Relay
-	call      *Call
-	sink      Sink
-	result    *Result
-	number    int
-	delivered bool
-	sinkErr   error
+// newAttemptID returns an identifier that no other attempt has, at any
+// instance: engines resume streams by it.
+func (r *Relay) newAttemptID() string {
+	return r.idPrefix + strconv.FormatUint(r.attempts.Add(1), 36)
 }
 
-func (a *attemptRun) run(ctx context.Context, slot *routing.Slot) error {
-	ctx, span := a.relay.tracer.Start(ctx, "relay.attempt", trace.WithSpanKind(trace.SpanKindClient))
+// pick waits for a slot under a span of its own. If all targets that serve the
+// request have failed it, they are tried again.
+func (r *Relay) pick(ctx context.Context, request routing.Request) (*routing.Slot, error) {
+	ctx, span := r.tracer.Start(ctx, "relay.admission")
 	defer span.End()
-	stream, err := a.relay.engines.Generate(ctx, slot.Target.Address, &target.ModelCall{
-		ID:          fmt.Sprintf("%s-%d", a.call.ID, a.number),
-		Kind:        a.call.Kind,
-		Model:       a.call.Served,
-		Body:        a.call.Body,
-		Stream:      a.call.Stream,
-		Priority:    priority(a.call.Class),
-		TraceParent: telemetry.TraceParent(ctx),
-	})
-	if err != nil {
-		slot.Done(outcome(ctx, err))
-		a.result.Sent = a.result.Sent || !errors.Is(err, target.ErrNotSent)
-		return callError(err)
+	slot, err := r.picker.Pick(ctx, request)
+	if err != nil && len(request.Exclude) > 0 && errors.Is(err, routing.ErrNoTarget) {
+		request.Exclude = nil
+		slot, err = r.picker.Pick(ctx, request)
 	}
-	a.result.Sent = true
-	err = a.copy(stream)
-	slot.Done(outcome(ctx, err))
-	_ = stream.Close()
-	return err
-}
-
-func (a *attemptRun) copy(stream target.Stream) error {
-	for {
-		chunk, err := stream.Recv()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return merry.Wrap(ErrBroken, merry.WithCause(err))
-		}
-		a.result.Generated += chunk.Generated
-		if chunk.Usage != nil {
-			a.result.Usage = chunk.Usage
-		}
-		a.delivered = true
-		if err := a.sink.Chunk(chunk); err != nil {
-			a.sinkErr = err
-			return err
-		}
+	return slot, err
+}
+
+// waitToRetry takes a retry from the budget and waits with jitter. It reports
+// false if the budget is spent or the deadline would pass.
+func (r *Relay) waitToRetry(ctx context.Context, kind string, try int, deadline time.Time) bool {
+	wait := backoff(try, r.jitter())
+	if !deadline.IsZero() && !r.clock.Now().Add(wait).Before(deadline) {
+		return false
 	}
+	allowed := r.budget.take()
+	r.metrics.countRetry(kind, allowed)
+	return allowed && r.wait(ctx, wait)
 }
 
-// isRepeatable reports whether another target may run the call: model calls
-// have no effect beyond their answer, so only a part already delivered forbids
-// it.
-func (a *attemptRun) isRepeatable(err error) bool {
-	if a.delivered || a.sinkErr != nil {
+// wait reports false if ctx ends first.
+func (r *Relay) wait(ctx context.Context, d time.Duration) bool {
+	if ctx.Err() != nil {
 		return false
 	}
-	return !errors.Is(err, ErrInvalid) && !errors.Is(err, context.Canceled)
+	select {
+	case <-r.clock.After(d):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// worse returns the error that counts for a call with two failed attempts: once
+// an attempt may have run, the call may have run.
+func worse(earlier, later error) error {
+	if earlier == nil || errors.Is(earlier, ErrNotRun) {
+		return later
+	}
+	return earlier
+}
+
+// pickError keeps the error of an earlier attempt, whose outcome counts for the
+// whole call.
+func pickError(earlier, err error) error {
+	if earlier != nil && !errors.Is(earlier, ErrNotRun) {
+		return earlier
+	}
+	return merry.Wrap(ErrNotRun, merry.WithCause(err))
 }
 
 func callError(err error) error {
--- a/internal/target/httptarget/client.go
+++ b/internal/target/httptarget/client.go
@@ -174,13 +174,25 @@
 	if got := resp.Header.Get(HeaderRequestID); got != "" && got != call.ID {
 		return nil, merry.Wrap(target.ErrMismatch, merry.AppendMessagef("header names %q", got))
 	}
+	if !hasEnd(resp) {
+		return nil, merry.Wrap(target.ErrTruncated, merry.AppendMessage("neither length nor chunks tell the end of the answer"))
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err != nil || len(body) > maxReplyBytes {
+	if err != nil {
 		return nil, merry.Wrap(target.ErrTruncated, merry.WithCause(err))
 	}
+	if len(body) > maxReplyBytes {
+		return nil, merry.Wrap(target.ErrTruncated, merry.AppendMessage("answer exceeds 16 MiB"))
+	}
 	return &target.ServiceReply{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// hasEnd reports whether a cut of the answer's body would be noticed. A body
+// that ends with its connection looks whole wherever it is cut.
+func hasEnd(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 func newServiceRequest(ctx context.Context, address string, call *target.ServiceCall) (*http.Request, error) {
 	u := url.URL{Scheme: "http", Host: address, Path: call.Path, RawQuery: call.RawQuery}
 	req, err := http.NewRequestWithContext(ctx, call.Method, u.String(), bytes.NewReader(call.Body))
--- a/internal/target/httptarget/stream.go
+++ b/internal/target/httptarget/stream.go
@@ -66,6 +66,9 @@
 	if head.ID != s.call.ID {
 		return target.Chunk{}, merry.Wrap(target.ErrMismatch, merry.AppendMessagef("chunk names %q", head.ID))
 	}
+	if index < 0 && s.call.ResumeFrom > 0 {
+		return target.Chunk{}, merry.Wrap(target.ErrMismatch, merry.AppendMessage("chunk of a resumed stream has no index"))
+	}
 	if index >= 0 && index != s.next {
 		return target.Chunk{}, merry.Wrap(target.ErrTruncated, merry.AppendMessagef("chunk %d instead of %d", index, s.next))
 	}
@@ -168,6 +171,9 @@
 	if head.ID != w.call.ID {
 		return target.Chunk{}, merry.Wrap(target.ErrMismatch, merry.AppendMessagef("answer names %q", head.ID))
 	}
+	if !head.hasAnswer() {
+		return target.Chunk{}, merry.Wrap(target.ErrTruncated, merry.AppendMessage("answer holds neither choices nor data"))
+	}
 	w.done = true
 	return target.Chunk{Data: data, Usage: head.Usage}, nil
 }
--- a/internal/target/httptarget/wire.go
+++ b/internal/target/httptarget/wire.go
@@ -1,6 +1,10 @@
 package httptarget
 
-import "github.com/dotterellink/dotterellink/internal/target"
+import (
+	"encoding/json"
+
+	"github.com/dotterellink/dotterellink/internal/target"
+)
 
 // Paths of the HTTP protocol of model engines.
 const (
@@ -45,8 +49,12 @@
 		} `json:"delta"`
 		Text string `json:"text"`
 	} `json:"choices"`
+	Data json.RawMessage `json:"data"`
 }
 
+// hasAnswer reports whether a whole answer holds a choice or embeddings.
+func (e *envelope) hasAnswer() bool { return len(e.Choices) > 0 || len(e.Data) > 0 }
+
 // generated returns the number of tokens in a streamed chunk: engines send one
 // token a chunk.
 func (e *envelope) generated() int64 {
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -83,7 +83,8 @@
 
 // Stream is an answer in progress.
 type Stream interface {
-	// Recv returns the next chunk. It returns io.EOF only after the end mark.
+	// Recv returns the next chunk of the call, in order. It returns io.EOF only
+	// after the end mark. The chunk's Data is valid until the next Recv.
 	Recv() (Chunk, error)
 	// Close releases the stream and cancels the call if it is still running.
 	Close() error
@@ -230,6 +231,10 @@
 	return "target: call rejected: " + e.Message
 }
 
+// RetryAfterHint returns when the target wants to be asked again; zero without
+// a hint.
+func (e *RejectedError) RetryAfterHint() time.Duration { return e.RetryAfter }
+
 // Unwrap makes errors.Is(err, ErrRejected) true.
 func (e *RejectedError) Unwrap() error { return ErrRejected }
 
