Tests of the relay under failure

The tests found one fault of the first form: a resumption that the engine refused (stream not known) was reported as not run although parts had reached the caller. Whatever fails after a delivered part now ends as broken.

--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -220,9 +220,13 @@
 	return nil
 }
 
-// failure names the reason for which the relay itself ended the call.
+// failure names the reason for which the relay itself ended the call. Once a
+// part was delivered, whatever failed broke the answer.
 func (m *modelRun) failure(ctx context.Context, err error) error {
-	if !errors.Is(err, ErrBroken) {
+	switch {
+	case m.next > 0 && !errors.Is(err, ErrBroken):
+		err = merry.Wrap(ErrBroken, merry.WithCause(err))
+	case !errors.Is(err, ErrBroken):
 		err = callError(err)
 	}
 	if errors.Is(err, ErrNotRun) {
