--- /dev/null
+++ b/internal/idempotency/property_test.go
@@ -0,0 +1,222 @@
+package idempotency_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"iter"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dotterellink/dotterellink/internal/idempotency"
+	"github.com/dotterellink/dotterellink/internal/platform"
+	"github.com/dotterellink/dotterellink/internal/relay"
+	"github.com/dotterellink/dotterellink/internal/standin/platformstandin"
+	"github.com/dotterellink/dotterellink/internal/standin/servicestandin"
+	"github.com/dotterellink/dotterellink/internal/target"
+)
+
+// crash ends a request between two of its steps.
+type crash struct{}
+
+// actor is one request at one instance. It stops before and after each call to
+// the platform and to the service, until the schedule lets it go on.
+type actor struct {
+	world *world
+	key   string
+	step  func() (struct{}, bool)
+	kill  func()
+	yield func(struct{}) bool
+
+	finished bool
+	// runs counts the runs of the service for this request, by its witness.
+	runs  int
+	reply *target.ServiceReply
+	err   error
+}
+
+func newActor(w *world, name, key, body string, deadline time.Duration) *actor {
+	a := &actor{world: w, key: key}
+	call := w.call(key, body)
+	call.Deadline = w.clock.Now().Add(deadline)
+	a.step, a.kill = iter.Pull(func(yield func(struct{}) bool) {
+		a.yield = yield
+		defer func() {
+			if r := recover(); r != nil && r != (crash{}) {
+				panic(r)
+			}
+		}()
+		claims := w.instance(name, &gatedObjects{w.store, a}, gatedService{a})
+		a.reply, a.err = claims.Invoke(context.Background(), call)
+		a.finished = true
+	})
+	return a
+}
+
+// pause hands control to the schedule, which may crash the instance.
+func (a *actor) pause() {
+	if !a.yield(struct{}{}) {
+		panic(crash{})
+	}
+}
+
+type gatedObjects struct {
+	*platformstandin.Store
+	actor *actor
+}
+
+func (g *gatedObjects) Get(ctx context.Context, key string) (platform.Object, error) {
+	g.actor.pause()
+	defer g.actor.pause()
+	return g.Store.Get(ctx, key)
+}
+
+func (g *gatedObjects) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Object, error) {
+	g.actor.pause()
+	defer g.actor.pause()
+	return g.Store.Put(ctx, key, value, expected)
+}
+
+func (g *gatedObjects) Delete(ctx context.Context, key string, expected platform.Version) error {
+	g.actor.pause()
+	defer g.actor.pause()
+	return g.Store.Delete(ctx, key, expected)
+}
+
+type gatedService struct{ actor *actor }
+
+func (g gatedService) Invoke(ctx context.Context, address string, call *target.ServiceCall) (*target.ServiceReply, error) {
+	g.actor.pause()
+	before := g.actor.world.service.Witness().Runs
+	reply, err := g.actor.world.service.Invoke(ctx, address, call)
+	g.actor.runs += g.actor.world.service.Witness().Runs - before
+	g.actor.pause()
+	return reply, err
+}
+
+// schedule draws the next thing that happens.
+type schedule struct {
+	t      *rapid.T
+	world  *world
+	actors []*actor
+	all    []*actor
+}
+
+var (
+	keysOfRun = []string{"gate-1", "gate-2"}
+	// pauses lie on both sides of the lease and of the deadline.
+	pauses = []time.Duration{time.Second, 16 * time.Second, 40 * time.Second}
+)
+
+func (s *schedule) begin() {
+	key := rapid.SampledFrom(keysOfRun).Draw(s.t, "key")
+	body := key
+	if rapid.IntRange(0, 9).Draw(s.t, "other body") == 0 {
+		body = key + "-other"
+	}
+	a := newActor(s.world, fmt.Sprint("instance-", len(s.all)), key, body, 30*time.Second)
+	s.actors = append(s.actors, a)
+	s.all = append(s.all, a)
+}
+
+func (s *schedule) next() {
+	switch rapid.SampledFrom([]string{"step", "step", "step", "step", "step", "step", "begin", "crash", "pause", "platform", "service"}).Draw(s.t, "event") {
+	case "begin":
+		s.begin()
+	case "crash":
+		if len(s.actors) > 0 {
+			i := rapid.IntRange(0, len(s.actors)-1).Draw(s.t, "actor")
+			s.actors[i].kill()
+			s.remove(i)
+		}
+	case "pause":
+		// Every request that runs is paused, and no time passes in between.
+		s.world.clock.Advance(rapid.SampledFrom(pauses).Draw(s.t, "pause"))
+	case "platform":
+		s.world.store.SetFaults(platformstandin.Faults{
+			Outage:      rapid.IntRange(0, 3).Draw(s.t, "outage") == 0,
+			LoseAnswers: rapid.IntRange(0, 2).Draw(s.t, "lost answers"),
+			StaleReads:  rapid.Bool().Draw(s.t, "stale"),
+		})
+	case "service":
+		s.world.service.SetFaults(servicestandin.Faults{
+			LoseAnswers:  rapid.IntRange(0, 1).Draw(s.t, "lost"),
+			RejectNotRun: rapid.IntRange(0, 2).Draw(s.t, "not run"),
+			Truncate:     rapid.IntRange(0, 1).Draw(s.t, "truncated"),
+			Down:         rapid.IntRange(0, 5).Draw(s.t, "down") == 0,
+		})
+	default:
+		if len(s.actors) > 0 {
+			s.stepOne(rapid.IntRange(0, len(s.actors)-1).Draw(s.t, "actor"))
+		}
+	}
+}
+
+func (s *schedule) stepOne(i int) {
+	if _, more := s.actors[i].step(); !more {
+		s.remove(i)
+	}
+}
+
+func (s *schedule) remove(i int) { s.actors = append(s.actors[:i], s.actors[i+1:]...) }
+
+// finish lets all requests end on a healthy platform.
+func (s *schedule) finish() {
+	s.world.store.SetFaults(platformstandin.Faults{})
+	s.world.service.SetFaults(servicestandin.Faults{})
+	for len(s.actors) > 0 {
+		s.stepOne(0)
+	}
+}
+
+func isNotRun(err error) bool {
+	return errors.Is(err, relay.ErrNotRun) || errors.Is(err, idempotency.ErrUnavailable) || errors.Is(err, idempotency.ErrMismatch)
+}
+
+// check compares what callers were told with what the service saw.
+func (s *schedule) check() {
+	witness := s.world.service.Witness()
+	for _, key := range keysOfRun {
+		ran := witness.RunsByBody[key] + witness.RunsByBody[key+"-other"]
+		if ran > 1 {
+			s.t.Fatalf("%s ran %d times", key, ran)
+		}
+		answer := ""
+		for _, a := range s.all {
+			if a.key != key || !a.finished || a.err != nil {
+				continue
+			}
+			if got := string(a.reply.Body); answer != "" && got != answer {
+				s.t.Fatalf("%s has the answers %q and %q", key, answer, got)
+			}
+			answer = string(a.reply.Body)
+		}
+		if answer != "" && ran != 1 {
+			s.t.Fatalf("%s has an answer but ran %d times", key, ran)
+		}
+	}
+	for _, a := range s.all {
+		if a.finished && isNotRun(a.err) && a.runs > 0 {
+			s.t.Fatalf("a request under %s was called not run but ran", a.key)
+		}
+	}
+}
+
+func TestAtMostOnceUnderEveryInterleaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &schedule{t: t, world: newWorld()}
+		defer func() {
+			for _, a := range s.actors {
+				a.kill()
+			}
+		}()
+		s.begin()
+		for range rapid.IntRange(10, 120).Draw(t, "events") {
+			s.next()
+		}
+		s.finish()
+		s.check()
+	})
+}
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -228,10 +228,10 @@
 		It("resumes a stream that stays silent between tokens", func() {
 			done := run(ctx, w.call(10, true), 2)
 			for range 4 {
-				<-hanging
+				Eventually(hanging, 5*time.Second).Should(Receive())
 				w.clock.Advance(10 * time.Second)
 			}
-			Expect(errors.Is(<-done, relay.ErrInactive)).To(BeTrue())
+			Expect(errors.Is(ended(done), relay.ErrInactive)).To(BeTrue())
 			Expect(seen).To(HaveLen(4))
 			for _, call := range seen[1:] {
 				Expect(call.ResumeFrom).To(Equal(2))
@@ -243,10 +243,10 @@
 		It("tries another target when the first token does not come", func() {
 			done := run(ctx, w.call(10, true), 0)
 			for range 3 {
-				<-hanging
+				Eventually(hanging, 5*time.Second).Should(Receive())
 				w.clock.Advance(10 * time.Second)
 			}
-			Expect(errors.Is(<-done, relay.ErrInactive)).To(BeTrue())
+			Expect(errors.Is(ended(done), relay.ErrInactive)).To(BeTrue())
 			Expect(seen).To(HaveLen(3))
 			Expect(seen[1].ID).NotTo(Equal(seen[0].ID))
 		})
@@ -256,10 +256,17 @@
 			ctx, cancel := clockwork.WithDeadline(ctx, w.clock, w.clock.Now().Add(time.Second))
 			defer cancel()
 			done := run(ctx, call, 2)
-			<-hanging
+			Eventually(hanging, 5*time.Second).Should(Receive())
 			w.clock.Advance(time.Second)
-			Expect(errors.Is(<-done, context.DeadlineExceeded)).To(BeTrue())
+			Expect(errors.Is(ended(done), context.DeadlineExceeded)).To(BeTrue())
 			Expect(seen).To(HaveLen(1))
 		})
 	})
 })
+
+// ended returns the error of a call that is about to end.
+func ended(done <-chan error) error {
+	var err error
+	EventuallyWithOffset(1, done, 5*time.Second).Should(Receive(&err))
+	return err
+}
