--- /dev/null
+++ b/internal/entry/answers_test.go
@@ -0,0 +1,164 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dotterellink/dotterellink/internal/entry"
+	"github.com/dotterellink/dotterellink/internal/idempotency"
+	"github.com/dotterellink/dotterellink/internal/quota"
+	"github.com/dotterellink/dotterellink/internal/relay"
+	"github.com/dotterellink/dotterellink/internal/routing"
+	"github.com/dotterellink/dotterellink/internal/target"
+)
+
+type hintedError struct{ after time.Duration }
+
+func (e *hintedError) Error() string                 { return "queue full" }
+func (e *hintedError) RetryAfterHint() time.Duration { return e.after }
+
+func caused(err, cause error) error { return merry.Wrap(err, merry.WithCause(cause)) }
+
+// parts sends chunks and then ends with result and err.
+func parts(result relay.Result, err error, chunks ...target.Chunk) func(context.Context, *relay.Call, relay.Sink) (relay.Result, error) {
+	return func(_ context.Context, _ *relay.Call, sink relay.Sink) (relay.Result, error) {
+		for _, c := range chunks {
+			if sinkErr := sink.Chunk(c); sinkErr != nil {
+				return result, sinkErr
+			}
+		}
+		return result, err
+	}
+}
+
+var _ = Describe("Answers", func() {
+	var w *world
+	BeforeEach(func() { w = newWorld() })
+
+	token := target.Chunk{Data: []byte(`{"id":"a","choices":[{"delta":{"content":"x"}}]}`), Generated: 1}
+	usage := &target.Usage{PromptTokens: 9, CompletionTokens: 1, TotalTokens: 10}
+	lastData := []byte(`{"id":"a","choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":9,"completion_tokens":1,"total_tokens":10}}`)
+	last := target.Chunk{Index: 1, Data: lastData, Usage: usage}
+
+	It("give the usage of a stream to callers that asked for it", func() {
+		w.carrier.generate = parts(relay.Result{Sent: true, Usage: usage, Generated: 1}, nil, token, last)
+		a := w.chat(`,"stream":true,"stream_options":{"include_usage":true}`)
+		events := strings.Split(strings.TrimSuffix(a.body, "\n\n"), "\n\n")
+		Expect(events).To(HaveLen(4), a.body)
+		Expect(events[1]).NotTo(ContainSubstring("usage"))
+		Expect(events[2]).To(ContainSubstring(`"choices":[]`))
+		Expect(events[2]).To(ContainSubstring(`"total_tokens":10`))
+		Expect(events[3]).To(Equal("data: [DONE]"))
+	})
+
+	It("keep the usage from callers that did not ask, and ask the engine always", func() {
+		w.carrier.generate = parts(relay.Result{Sent: true, Usage: usage, Generated: 1}, nil, token, last)
+		a := w.chat(`,"stream":true`)
+		Expect(a.body).NotTo(ContainSubstring("usage"))
+		Expect(a.body).To(ContainSubstring(`"finish_reason":"stop"`))
+		Expect(a.body).To(HaveSuffix("data: [DONE]\n\n"))
+		Expect(string(w.carrier.calls[0].Body)).To(ContainSubstring(`"stream_options":{"include_usage":true}`))
+		Expect(w.ledger.lastSettled()).To(Equal(int64(10)))
+	})
+
+	It("end a broken stream by an error event and no end mark", func() {
+		w.carrier.generate = parts(relay.Result{Sent: true, Generated: 1}, merry.Wrap(relay.ErrBroken), token)
+		a := w.chat(`,"stream":true`)
+		Expect(a.status).To(Equal(200))
+		Expect(a.body).To(ContainSubstring("event: error\ndata: {\"error\":"))
+		Expect(a.body).NotTo(ContainSubstring("[DONE]"))
+	})
+
+	DescribeTable("settle to the true count, or to the stated bound",
+		func(stream bool, result relay.Result, err error, want int) {
+			w.carrier.generate = parts(result, err)
+			fields := `,"max_tokens":20`
+			if stream {
+				fields += `,"stream":true`
+			}
+			w.chat(fields)
+			Expect(w.ledger.reserved).To(Equal([]int64{int64(promptBytes + 20)}))
+			Eventually(w.ledger.lastSettled).Should(Equal(int64(want)))
+		},
+		Entry("the engine's usage", true, relay.Result{Sent: true, Usage: usage}, nil, 10),
+		Entry("a stream without usage", true, relay.Result{Sent: true, Generated: 3}, nil, promptBytes+3),
+		Entry("a broken stream", true, relay.Result{Sent: true, Generated: 3}, relay.ErrBroken, promptBytes+3),
+		Entry("a caller that left", true, relay.Result{Sent: true, Generated: 5}, context.Canceled, promptBytes+5),
+		Entry("a whole answer without usage", false, relay.Result{Sent: true}, nil, promptBytes+20),
+		Entry("a lost whole answer", false, relay.Result{Sent: true}, relay.ErrOutcomeUnknown, promptBytes+20),
+		Entry("nothing sent", true, relay.Result{}, relay.ErrNotRun, 0),
+	)
+
+	DescribeTable("tell the outcome and when to come back",
+		func(err error, status int, outcome, after string) {
+			w.carrier.invoke = func(context.Context, *relay.ServiceCall) (*target.ServiceReply, error) { return nil, err }
+			a := w.do("POST", "/services/desk/bookings", "pack 7")
+			Expect(a.status).To(Equal(status), a.body)
+			Expect(a.header.Get(entry.HeaderOutcome)).To(Equal(outcome))
+			Expect(a.header.Get("Retry-After")).To(Equal(after))
+			_, _, code := a.failure()
+			Expect(code).NotTo(BeEmpty())
+		},
+		Entry("no target", caused(relay.ErrNotRun, routing.ErrNoTarget), 503, "not-run", "1"),
+		Entry("queue full", caused(relay.ErrNotRun, &hintedError{7 * time.Second}), 503, "not-run", "7"),
+		Entry("rejected with a hint", caused(relay.ErrNotRun, &target.RejectedError{Status: 503, RetryAfter: 3 * time.Second}), 503, "not-run", "3"),
+		Entry("unknown outcome", merry.Wrap(relay.ErrOutcomeUnknown), 502, "unknown", ""),
+		Entry("deadline, not sent", caused(relay.ErrNotRun, context.DeadlineExceeded), 504, "not-run", "1"),
+		Entry("deadline, sent", caused(relay.ErrOutcomeUnknown, context.DeadlineExceeded), 502, "unknown", ""),
+		Entry("key in use", &idempotency.BusyError{}, 409, "in-progress", "1"),
+		Entry("key used for another request", merry.Wrap(idempotency.ErrMismatch), 422, "not-run", ""),
+		Entry("key not claimed", merry.Wrap(idempotency.ErrUnavailable), 503, "not-run", "1"),
+		Entry("anything else", errors.New("x"), 500, "unknown", ""),
+	)
+
+	It("refuse at once, with the time from the bucket, what the quota refuses", func() {
+		w.ledger.refuse = &quota.RefusedError{RetryAfter: 2500 * time.Millisecond}
+		a := w.chat("")
+		Expect(a.status).To(Equal(429))
+		Expect(a.header.Get("Retry-After")).To(Equal("3"))
+		Expect(a.header.Get(entry.HeaderOutcome)).To(Equal("not-run"))
+	})
+
+	It("pass on what a service answers, whatever its status", func() {
+		w.carrier.invoke = func(context.Context, *relay.ServiceCall) (*target.ServiceReply, error) {
+			header := http.Header{"Content-Type": {"text/x-desk"}, "X-Desk": {"1"}, "Connection": {"close"}, entry.HeaderOutcome: {"forged"}}
+			return &target.ServiceReply{Status: 418, Header: header, Body: []byte("no\x00")}, nil
+		}
+		a := w.do("PATCH", "/services/desk/bookings/7?x=1", "pack 7")
+		Expect(a.status).To(Equal(418))
+		Expect(a.body).To(Equal("no\x00"))
+		Expect(a.header.Get("Content-Type")).To(Equal("text/x-desk"))
+		Expect(a.header.Get("X-Desk")).To(Equal("1"))
+		Expect(a.header.Get(entry.HeaderOutcome)).To(BeEmpty())
+		call := w.carrier.services[0]
+		Expect(call.Method + " " + call.Path + "?" + call.RawQuery).To(Equal("PATCH /bookings/7?x=1"))
+	})
+
+	It("do not let a caller that reads nothing hold a call", func() {
+		w.entry.SetWriteTimeout(time.Second)
+		ended := make(chan error, 1)
+		big := target.Chunk{Data: []byte(`"` + strings.Repeat("x", 1<<20) + `"`)}
+		w.carrier.generate = func(_ context.Context, _ *relay.Call, sink relay.Sink) (relay.Result, error) {
+			for {
+				if err := sink.Chunk(big); err != nil {
+					ended <- err
+					return relay.Result{Sent: true}, err
+				}
+			}
+		}
+		r, err := http.NewRequest("POST", w.server.URL+"/v1/chat/completions", strings.NewReader(`{"model":"reader","stream":true,"messages":[{}]}`))
+		Expect(err).NotTo(HaveOccurred())
+		r.Header.Set("Authorization", "Bearer "+w.key)
+		response, err := http.DefaultTransport.RoundTrip(r)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Eventually(ended, 10*time.Second).Should(Receive(HaveOccurred()))
+	})
+})
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -69,6 +69,8 @@
 	log     *log.Logger
 	metrics *metrics
 	echo    *echo.Echo
+	// writeTimeout is writeTimeout but for tests.
+	writeTimeout time.Duration
 
 	leaving atomic.Bool
 }
@@ -98,6 +100,8 @@
 		log:     c.Log,
 		metrics: newMetrics(c.Metrics),
 		echo:    echo.New(),
+
+		writeTimeout: writeTimeout,
 	}
 	if s.demand == nil {
 		s.demand = noDemand{}
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -67,7 +66,9 @@
 	path := "/" + rest
 	service := s.views.View().Service(name)
 	if service == nil {
-		return nil, invalidRequest(http.StatusNotFound, "service_not_found", fmt.Sprintf("path: no service %q", keys.Redact(name)))
+		notFound := badField("path", "no service %q", keys.Redact(name))
+		notFound.status, notFound.code = http.StatusNotFound, "service_not_found"
+		return nil, notFound
 	}
 	idempotent := service.IsIdempotent(request.Method, path)
 	idempotencyKey := request.Header.Get(HeaderIdempotencyKey)
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -95,7 +95,7 @@
 		s.controller = http.NewResponseController(s.context.Response().Writer)
 	}
 	// Connections that take no deadline are those of tests.
-	_ = s.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = s.controller.SetWriteDeadline(time.Now().Add(s.server.writeTimeout))
 	if s.written {
 		return
 	}
