Tests of targets' answers, fuzz tests, benchmark of the added time

The fuzz seed of a data field in two lines failed: the reader joined the lines without the newline that server-sent events prescribe, so that two halves made an end mark.

--- /dev/null
+++ b/internal/entry/path_test.go
@@ -0,0 +1,256 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dotterellink/dotterellink/internal/admission"
+	"github.com/dotterellink/dotterellink/internal/entry"
+	"github.com/dotterellink/dotterellink/internal/environment"
+	"github.com/dotterellink/dotterellink/internal/inventory"
+	"github.com/dotterellink/dotterellink/internal/keys"
+	"github.com/dotterellink/dotterellink/internal/quota"
+	"github.com/dotterellink/dotterellink/internal/relay"
+	"github.com/dotterellink/dotterellink/internal/routing"
+	"github.com/dotterellink/dotterellink/internal/standin/enginestandin"
+	"github.com/dotterellink/dotterellink/internal/target"
+	"github.com/dotterellink/dotterellink/internal/target/httptarget"
+	"github.com/dotterellink/dotterellink/internal/telemetry"
+)
+
+// wholePath is an instance's path of requests and an engine, over loopback HTTP.
+type wholePath struct {
+	key    string
+	direct string
+	entry  string
+	client *http.Client
+}
+
+func newWholePath(tb testing.TB, intervalMS float64) *wholePath {
+	clock := clockwork.NewRealClock()
+	cfg := enginestandin.DefaultConfig("engine")
+	cfg.TokenIntervalMS, cfg.BatchSlowdown, cfg.PrefillTokensPerSecond, cfg.Slots = intervalMS, 0, 1e12, 4096
+	cfg.Residents = []target.Resident{{Model: "reader", MemoryMB: 1}}
+	engine := httptest.NewServer(enginestandin.NewHandler(enginestandin.New(cfg, clock, 1)))
+	tb.Cleanup(engine.Close)
+	address := strings.TrimPrefix(engine.URL, "http://")
+
+	key, record := keys.New()
+	record.Account = "celula"
+	state := &environment.State{Revision: 1, Keys: []environment.Key{record}, Document: environment.Document{
+		Accounts: []environment.Account{{Name: "celula", RateTokensPerSecond: 1e12, BurstTokens: 1e12}},
+		Models:   []environment.Model{{Name: "reader", ContextTokens: 1e6, DefaultMaxTokens: 16}},
+	}}
+	view := environment.NewView(state, clock.Now())
+	snapshot := inventory.NewSnapshot(view, []*inventory.TargetState{{
+		Target:     &environment.Target{Name: "engine", Kind: environment.TargetEngine, Address: address, Zone: "zone", Concurrency: 4096},
+		Report:     target.Report{Residents: []target.Resident{{Model: "reader", State: target.ResidencyReady}}},
+		ReceivedAt: clock.Now().Add(time.Hour),
+	}})
+	router := routing.New("zone", func() *inventory.Snapshot { return snapshot }, clock)
+	tracer := telemetry.NoTracing().Tracer
+	registry := prometheus.NewRegistry()
+	server := entry.New(entry.Config{
+		Views: views{view}, Limiter: quota.NewStatic(func() *environment.View { return view }, 1, clock),
+		Relay: relay.New(relay.Config{
+			Picker: admission.NewDirect(router), Engines: httptarget.New(), Clock: clock, Tracer: tracer,
+			Log: telemetry.Discard(), Metrics: registry,
+		}),
+		Tracer: tracer, Clock: clock, Log: telemetry.Discard(), Metrics: registry,
+	})
+	front := httptest.NewUnstartedServer(nil)
+	front.Config = server.HTTPServer()
+	front.Start()
+	tb.Cleanup(front.Close)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, DisableCompression: true}}
+	tb.Cleanup(client.CloseIdleConnections)
+	return &wholePath{key: key, direct: engine.URL, entry: front.URL, client: client}
+}
+
+// open starts a call at base; direct calls need an identifier.
+func (p *wholePath) open(base string, tokens int, stream bool) (*http.Response, error) {
+	body := fmt.Sprintf(`{"model":"reader","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"gate 7"}]}`, stream, tokens)
+	r, err := http.NewRequestWithContext(context.Background(), "POST", base+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if base == p.entry {
+		r.Header.Set("Authorization", "Bearer "+p.key)
+	} else {
+		r.Header.Set(httptarget.HeaderRequestID, "direct")
+	}
+	return p.client.Do(r)
+}
+
+func (p *wholePath) call(tb testing.TB, base string, tokens int, stream bool) {
+	response, err := p.open(base, tokens, stream)
+	if err != nil {
+		tb.Error(err)
+		return
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		tb.Errorf("status %d: %v", response.StatusCode, err)
+	}
+	if stream && !bytes.HasSuffix(data, []byte("data: [DONE]\n\n")) {
+		tb.Error("stream without its end mark")
+	}
+}
+
+func heapBytes() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkAddedTime sends requests at 500 a second to the instance and as many
+// to the engine itself, and reports how much longer the former take.
+func BenchmarkAddedTime(b *testing.B) {
+	const interval = time.Second / 500
+	for _, stream := range []bool{false, true} {
+		b.Run(fmt.Sprintf("stream=%t", stream), func(b *testing.B) {
+			p := newWholePath(b, 0)
+			times := map[string]*hdrhistogram.Histogram{}
+			for _, base := range []string{p.direct, p.entry} {
+				times[base] = hdrhistogram.New(1, 10_000_000, 3)
+				for range 200 {
+					p.call(b, base, 16, stream)
+				}
+			}
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			ticker := time.NewTicker(interval / 2)
+			defer ticker.Stop()
+			b.ResetTimer()
+			for i := range 2 * b.N {
+				<-ticker.C
+				base := p.direct
+				if i%2 == 1 {
+					base = p.entry
+				}
+				wg.Go(func() {
+					started := time.Now()
+					p.call(b, base, 16, stream)
+					took := time.Since(started).Microseconds()
+					mu.Lock()
+					defer mu.Unlock()
+					_ = times[base].RecordValue(took)
+				})
+			}
+			wg.Wait()
+			for _, q := range []float64{50, 99} {
+				direct, through := times[p.direct].ValueAtQuantile(q), times[p.entry].ValueAtQuantile(q)
+				b.ReportMetric(float64(direct), fmt.Sprintf("direct-p%.0f-µs", q))
+				b.ReportMetric(float64(through-direct), fmt.Sprintf("added-p%.0f-µs", q))
+			}
+		})
+	}
+}
+
+// BenchmarkCall gives the allocations of a call, client and engine included;
+// the difference between through and direct is the instance's.
+func BenchmarkCall(b *testing.B) {
+	for _, tokens := range []int{16, 1016} {
+		for _, name := range []string{"direct", "through"} {
+			b.Run(fmt.Sprintf("%s/stream-of-%d", name, tokens), func(b *testing.B) {
+				p := newWholePath(b, 0)
+				base := map[string]string{"direct": p.direct, "through": p.entry}[name]
+				p.call(b, base, tokens, true)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					p.call(b, base, tokens, true)
+				}
+			})
+		}
+	}
+}
+
+// runStreams runs n streams, 50 at a time.
+func (p *wholePath) runStreams(tb testing.TB, n int) {
+	var wg sync.WaitGroup
+	for worker := range 50 {
+		wg.Go(func() {
+			for i := worker; i < n; i += 50 {
+				p.call(tb, p.entry, 4, true)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// BenchmarkStreamedMemory reports the heap, engine and clients included, after
+// a tenth of the streams and after all.
+func BenchmarkStreamedMemory(b *testing.B) {
+	p := newWholePath(b, 0)
+	p.runStreams(b, b.N/10)
+	early := heapBytes()
+	p.runStreams(b, b.N-b.N/10)
+	b.ReportMetric(float64(early)/(1<<20), "early-MB")
+	b.ReportMetric(float64(heapBytes())/(1<<20), "late-MB")
+}
+
+// openStreams returns the heap that n open streams at base take, in bytes, with
+// their clients and the engine.
+func (p *wholePath) openStreams(tb testing.TB, base string, n int) int64 {
+	before := heapBytes()
+	responses := make(chan *http.Response, n)
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() {
+			response, err := p.open(base, 500_000, true)
+			if err != nil {
+				tb.Error(err)
+				return
+			}
+			responses <- response
+		})
+	}
+	wg.Wait()
+	close(responses)
+	used := int64(heapBytes()) - int64(before)
+	for response := range responses {
+		response.Body.Close()
+	}
+	return used
+}
+
+// TestOpenStreamsStayBelow64MB takes off what the clients and the engine need.
+func TestOpenStreamsStayBelow64MB(t *testing.T) {
+	const streams, limitBytes = 1000, 64 << 20
+	direct := newWholePath(t, 300)
+	others := direct.openStreams(t, direct.direct, streams)
+	through := newWholePath(t, 300)
+	all := through.openStreams(t, through.entry, streams)
+	t.Logf("%d open streams: %d MB in all, %d MB of them clients and engine", streams, all>>20, others>>20)
+	if all-others > limitBytes {
+		t.Errorf("%d open streams take %d MB", streams, (all-others)>>20)
+	}
+}
+
+func TestStreamsLeaveNoMemoryBehind(t *testing.T) {
+	const limitBytes = 8 << 20
+	p := newWholePath(t, 0)
+	p.runStreams(t, 1000)
+	before := heapBytes()
+	p.runStreams(t, 4000)
+	if grown := int64(heapBytes()) - int64(before); grown > limitBytes {
+		t.Errorf("the heap grew by %d KB", grown>>10)
+	}
+}
--- /dev/null
+++ b/internal/target/httptarget/fuzz_test.go
@@ -0,0 +1,48 @@
+package httptarget
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/dotterellink/dotterellink/internal/target"
+)
+
+// FuzzEventStream checks that no bytes make the reader panic, end a stream
+// without its end mark, or let through a chunk of another call.
+func FuzzEventStream(f *testing.F) {
+	for _, seed := range []string{
+		"id: 0\ndata: {\"id\":\"a\",\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\ndata: [DONE]\n\n",
+		"data: {\"id\":\"a\"}\r\n\r\ndata:[DONE]\r\n\r\n",
+		"id: 1\ndata: {\"id\":\"a\"}\n\n",
+		"data: {\"id\":\"b\"}\n\ndata: [DONE]\n\n",
+		"data: {\"id\":\"a\"\n\n",
+		"event: error\ndata: {\"error\":{}}\n\n",
+		": comment\n\n\n\ndata: [DONE]",
+		"data: [DO\ndata: NE]\n\n",
+		"data: {\"id\":\"b\",\"x\":{\"id\":\"a\"}}\n\n",
+		"data: {\"id\":\"a\",\"id\":\"b\"}\n\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		call := &target.ModelCall{ID: "a", Stream: true}
+		stream := newEventStream(call, io.NopCloser(bytes.NewReader(body)), func() {})
+		for next := 0; ; next++ {
+			chunk, err := stream.Recv()
+			if errors.Is(err, io.EOF) && !errors.Is(err, target.ErrTruncated) {
+				if !bytes.Contains(body, []byte(EndMark)) {
+					t.Fatal("ended without an end mark")
+				}
+				return
+			}
+			if err != nil {
+				return
+			}
+			if chunk.Index != next || !bytes.Contains(chunk.Data, []byte(`a`)) {
+				t.Fatalf("chunk %d: %d %q", next, chunk.Index, chunk.Data)
+			}
+		}
+	})
+}
--- a/internal/target/httptarget/stream.go
+++ b/internal/target/httptarget/stream.go
@@ -29,6 +29,9 @@
 	cancel context.CancelFunc
 	next   int
 	done   bool
+	// line and data are reused from event to event.
+	line []byte
+	data []byte
 }
 
 func newEventStream(call *target.ModelCall, body io.ReadCloser, cancel context.CancelFunc) *eventStream {
@@ -81,14 +84,16 @@
 // gives none.
 func (s *eventStream) readEvent() (int, []byte, error) {
 	index := -1
-	var data []byte
+	found := false
+	data := s.data[:0]
+	defer func() { s.data = data }()
 	for {
 		line, err := s.readLine()
 		if err != nil {
 			return 0, nil, err
 		}
 		if len(line) == 0 {
-			if data != nil {
+			if found {
 				return index, data, nil
 			}
 			continue
@@ -97,6 +102,10 @@
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(field) {
 		case "data":
+			if found {
+				data = append(data, '\n')
+			}
+			found = true
 			data = append(data, value...)
 		case "id":
 			index = parseIndex(value)
@@ -115,19 +124,23 @@
 	return n
 }
 
-// readLine returns one line without its end. The end of the body before a
-// complete line means that the answer is truncated.
+// readLine returns one line without its end, valid until the next one. The end
+// of the body before a complete line means that the answer is truncated.
 func (s *eventStream) readLine() ([]byte, error) {
-	var line []byte
+	part, err := s.reader.ReadSlice('\n')
+	if err == nil {
+		return bytes.TrimRight(part, "\r\n"), nil
+	}
+	s.line = s.line[:0]
 	for {
-		part, err := s.reader.ReadSlice('\n')
-		line = append(line, part...)
+		s.line = append(s.line, part...)
 		if err == nil {
-			return bytes.TrimRight(line, "\r\n"), nil
+			return bytes.TrimRight(s.line, "\r\n"), nil
 		}
-		if !errors.Is(err, bufio.ErrBufferFull) || len(line) > maxEventBytes {
+		if !errors.Is(err, bufio.ErrBufferFull) || len(s.line) > maxEventBytes {
 			return nil, readError(err)
 		}
+		part, err = s.reader.ReadSlice('\n')
 	}
 }
 
