Write events together that arrived together

Need: a write and a flush for each chunk cost a system call each. Chunks now say whether the next one is already there; then both go out in one write of at most 8 KiB.

--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -29,14 +28,14 @@
 
 // Chunk implements relay.Sink.
 func (s *responseSink) Chunk(chunk target.Chunk) error {
-	if !s.written {
+	if !s.written && len(s.buffer) == 0 {
 		s.server.metrics.firstToken.Observe(s.server.clock.Since(s.started).Seconds())
 	}
 	if !s.stream {
 		return s.whole(chunk.Data)
 	}
 	if chunk.Usage == nil {
-		return s.event(chunk.Data)
+		return s.event(chunk.Data, chunk.More)
 	}
 	return s.last(chunk)
 }
@@ -55,14 +54,14 @@
 		return err
 	}
 	if parts.rest != nil {
-		if err := s.event(parts.rest); err != nil {
+		if err := s.event(parts.rest, true); err != nil {
 			return err
 		}
 	}
 	if s.usage {
-		return s.event(parts.usage)
+		return s.event(parts.usage, chunk.More)
 	}
-	return nil
+	return s.flush(chunk.More)
 }
 
 // usageParts are the two chunks made of one that holds choices and usage. The
@@ -108,13 +107,26 @@
 
 const mimeEventStream = "text/event-stream"
 
-// event writes one server-sent event at once.
-func (s *responseSink) event(data []byte) error {
-	s.begin(mimeEventStream)
-	s.buffer = append(s.buffer[:0], "data: "...)
+// maxHeldBytes bounds the events that are written together.
+const maxHeldBytes = 8 << 10
+
+// event passes on one server-sent event, at once unless more follow at once.
+func (s *responseSink) event(data []byte, more bool) error {
+	s.buffer = append(s.buffer, "data: "...)
 	s.buffer = append(s.buffer, data...)
 	s.buffer = append(s.buffer, "\n\n"...)
-	if _, err := s.context.Response().Write(s.buffer); err != nil {
+	return s.flush(more)
+}
+
+// flush writes the events held back.
+func (s *responseSink) flush(more bool) error {
+	if len(s.buffer) == 0 || (more && len(s.buffer) < maxHeldBytes) {
+		return nil
+	}
+	s.begin(mimeEventStream)
+	_, err := s.context.Response().Write(s.buffer)
+	s.buffer = s.buffer[:0]
+	if err != nil {
 		return err
 	}
 	return s.controller.Flush()
@@ -125,23 +137,22 @@
 	if !s.stream {
 		return nil
 	}
-	return s.event([]byte(httptarget.EndMark))
+	return s.event([]byte(httptarget.EndMark), false)
 }
 
 // fail tells the caller that a stream broke off: by an error event if parts of
-// it were sent, else by the returned error. A stream never gets its end mark
-// after a failure.
+// it were delivered, else by the returned error. A stream never gets its end
+// mark after a failure.
 func (s *responseSink) fail(err error) error {
-	if !s.written || !s.stream {
+	if !s.stream || (!s.written && len(s.buffer) == 0) {
 		return err
 	}
 	data, encodeErr := json.Marshal(toAPIError(err).body())
 	if encodeErr != nil {
 		return err
 	}
-	if _, writeErr := fmt.Fprintf(s.context.Response(), "event: error\ndata: %s\n\n", data); writeErr == nil {
-		_ = s.controller.Flush()
-	}
+	s.buffer = append(s.buffer, "event: error\n"...)
+	_ = s.event(data, false)
 	return err
 }
 
--- a/internal/target/httptarget/stream.go
+++ b/internal/target/httptarget/stream.go
@@ -78,11 +78,19 @@
 	if err != nil {
 		return target.Chunk{}, err
 	}
-	chunk := target.Chunk{Index: s.next, Data: data, Usage: usage, Generated: generatedTokens(member(data, "choices"))}
+	chunk := target.Chunk{Index: s.next, Data: data, Usage: usage, Generated: generatedTokens(member(data, "choices")), More: s.hasNext()}
 	s.next++
 	return chunk, nil
 }
 
+// hasNext reports whether a whole event has already arrived.
+func (s *eventStream) hasNext() bool {
+	arrived, _ := s.reader.Peek(s.reader.Buffered())
+	return bytes.Contains(arrived, eventEnd)
+}
+
+var eventEnd = []byte("\n\n")
+
 // parseUsage returns nil for engines' null in chunks before the last.
 func parseUsage(raw []byte) (*target.Usage, error) {
 	if len(raw) == 0 || raw[0] != '{' {
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -79,6 +79,9 @@
 	Usage *Usage
 	// Generated is the number of tokens that the chunk carries.
 	Generated int64
+	// More is set if the next Recv returns at once, so that the chunk need not
+	// be passed on before the next one.
+	More bool
 }
 
 // Stream is an answer in progress.
