--- /dev/null
+++ b/internal/quota/loans.go
@@ -0,0 +1,94 @@
+package quota
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	// keepAhead is the time for whose demand a lender keeps tokens.
+	keepAhead = 2 * time.Second
+	// borrowAhead is the time for whose demand a borrower asks tokens beyond the
+	// request at hand.
+	borrowAhead = 2 * time.Second
+	// demandMargin is the factor on a lender's demand for the rate that it keeps.
+	demandMargin = 1.2
+)
+
+// loanRequest asks a peer for tokens and rate.
+type loanRequest struct {
+	// ID makes a repeat of the request get the same loan.
+	ID      string `msgpack:"i"`
+	Account string `msgpack:"a"`
+	// Wanted.Burst is the number of tokens wanted, which come with the same
+	// capacity.
+	Wanted Share `msgpack:"w"`
+}
+
+// loanAnswer is what a lender gives. It has deducted Part already.
+type loanAnswer struct {
+	Part Share `msgpack:"p"`
+	// LastsMS is the duration of the loan in milliseconds. The borrower counts it
+	// from when it asked.
+	LastsMS int64 `msgpack:"l"`
+}
+
+// Wanted returns what to ask peers for, given the tokens that a request misses.
+func (l *Ledger) Wanted(now time.Time, name string, missing float64) Share {
+	a := l.account(now, name)
+	a.decayDemand(now)
+	rate := a.demand*demandMargin - a.own.share.Rate
+	for _, b := range a.borrowed {
+		rate -= b.bucket.share.Rate
+	}
+	rate = math.Max(0, rate)
+	return Share{Rate: rate, Burst: missing + rate*borrowAhead.Seconds()}
+}
+
+// Grant lends what the instance can spare. The same request within the time of
+// the loan gets the same loan.
+func (l *Ledger) Grant(now time.Time, r *loanRequest) *loanAnswer {
+	a := l.account(now, r.Account)
+	for _, known := range a.lent {
+		if known.id == r.ID {
+			return &loanAnswer{Part: known.part, LastsMS: known.until.Sub(now).Milliseconds()}
+		}
+	}
+	lasts := min(loanDuration, l.leaseUntil.Sub(now))
+	if lasts <= 0 {
+		return &loanAnswer{}
+	}
+	part := a.spare(now, r.Wanted)
+	if part.Burst <= 0 {
+		return &loanAnswer{}
+	}
+	a.own.moveOut(part)
+	a.lent = append(a.lent, &lentLoan{id: r.ID, part: part, until: now.Add(lasts)})
+	sort.SliceStable(a.lent, func(i, j int) bool { return a.lent[i].until.Before(a.lent[j].until) })
+	return &loanAnswer{Part: part, LastsMS: lasts.Milliseconds()}
+}
+
+// spare returns what of wanted the instance does not need soon itself.
+func (a *accountLedger) spare(now time.Time, wanted Share) Share {
+	a.decayDemand(now)
+	keep := a.demand * keepAhead.Seconds()
+	tokens := math.Min(a.own.level, a.own.share.Burst) - keep
+	rate := a.own.share.Rate - a.demand*demandMargin
+	return Share{
+		Rate:  math.Max(0, math.Min(wanted.Rate, rate)),
+		Burst: math.Max(0, math.Min(wanted.Burst, tokens)),
+	}
+}
+
+// Accept takes a loan that was asked for at asked. A loan that is over already
+// is lost.
+func (l *Ledger) Accept(now, asked time.Time, name string, answer *loanAnswer) {
+	until := asked.Add(time.Duration(answer.LastsMS) * time.Millisecond)
+	if answer.Part.Burst <= 0 || !until.After(now) {
+		return
+	}
+	a := l.account(now, name)
+	a.borrowed = append(a.borrowed, &borrowedLoan{bucket: newBucket(now, answer.Part, answer.Part.Burst), until: until})
+	sort.SliceStable(a.borrowed, func(i, j int) bool { return a.borrowed[i].until.Before(a.borrowed[j].until) })
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -5,28 +5,46 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/jonboulle/clockwork"
-
-	"github.com/dotterellink/dotterellink/internal/environment"
 )
 
 // ErrRefused means that the client account has no tokens for the request now.
 var ErrRefused = merry.Sentinel("quota: not enough tokens")
 
-// RefusedError tells when to come back. It unwraps to ErrRefused.
+// Reason tells why tokens were refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	// ReasonRate means that the rate and burst of the account are used up.
+	ReasonRate Reason = "rate"
+	// ReasonTooLarge means that the request exceeds the whole burst and cannot
+	// be admitted at any time.
+	ReasonTooLarge Reason = "too-large"
+	// ReasonNoAccount means that the document has no such account.
+	ReasonNoAccount Reason = "no-account"
+	// ReasonNoShare means that the instance holds no share yet, or its lease has
+	// expired, and peers lent too little.
+	ReasonNoShare Reason = "no-share"
+)
+
+// RefusedError tells when to come back. It unwraps to ErrRefused. RetryAfter is
+// zero if the request can never be admitted.
 type RefusedError struct {
 	Account    string
 	Tokens     int64
+	Reason     Reason
 	RetryAfter time.Duration
 }
 
+// RetryAfterHint returns the time after which a repeat may be admitted.
+func (e *RefusedError) RetryAfterHint() time.Duration { return e.RetryAfter }
+
 // Error implements error.
 func (e *RefusedError) Error() string {
-	return fmt.Sprintf("quota: %d tokens not available", e.Tokens)
+	return fmt.Sprintf("quota: %d tokens not available (%s), retry after %v", e.Tokens, e.Reason, e.RetryAfter)
 }
 
 // Unwrap makes errors.Is(err, ErrRefused) true.
@@ -44,63 +62,3 @@
 	// returns a RefusedError at once.
 	Reserve(ctx context.Context, account string, tokens int64) (Reservation, error)
 }
-
-// Static gives each instance an equal, fixed share of every account's rate and
-// burst. It implements Limiter and serves as the baseline of comparisons.
-type Static struct {
-	views  func() *environment.View
-	shares int64
-	clock  clockwork.Clock
-
-	mu      sync.Mutex
-	buckets map[string]*bucket
-}
-
-type bucket struct {
-	tokens float64
-	at     time.Time
-}
-
-// NewStatic returns a limiter that admits one part in shares of every account.
-func NewStatic(views func() *environment.View, shares int, clock clockwork.Clock) *Static {
-	return &Static{views: views, shares: int64(shares), clock: clock, buckets: make(map[string]*bucket)}
-}
-
-// Reserve implements Limiter.
-func (s *Static) Reserve(_ context.Context, account string, tokens int64) (Reservation, error) {
-	record := s.views().Account(account)
-	if record == nil {
-		return nil, &RefusedError{Account: account, Tokens: tokens, RetryAfter: time.Second}
-	}
-	rate := float64(record.RateTokensPerSecond) / float64(s.shares)
-	burst := float64(record.BurstTokens) / float64(s.shares)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	b := s.buckets[account]
-	if b == nil {
-		b = &bucket{tokens: burst, at: now}
-		s.buckets[account] = b
-	}
-	b.tokens = min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
-	b.at = now
-	if b.tokens < float64(tokens) {
-		missing := (float64(tokens) - b.tokens) / rate
-		return nil, &RefusedError{Account: account, Tokens: tokens, RetryAfter: time.Duration(missing * float64(time.Second))}
-	}
-	b.tokens -= float64(tokens)
-	return &staticReservation{limiter: s, bucket: b, tokens: tokens}, nil
-}
-
-type staticReservation struct {
-	limiter *Static
-	bucket  *bucket
-	tokens  int64
-}
-
-// Settle implements Reservation.
-func (r *staticReservation) Settle(used int64) {
-	r.limiter.mu.Lock()
-	defer r.limiter.mu.Unlock()
-	r.bucket.tokens += float64(max(0, r.tokens-used))
-}
--- /dev/null
+++ b/internal/quota/static.go
@@ -0,0 +1,71 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterellink/dotterellink/internal/environment"
+)
+
+// Static gives each instance an equal, fixed share of every account's rate and
+// burst. It implements Limiter and serves as the baseline of comparisons.
+type Static struct {
+	views  func() *environment.View
+	shares int64
+	clock  clockwork.Clock
+
+	mu      sync.Mutex
+	buckets map[string]*staticBucket
+}
+
+type staticBucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// NewStatic returns a limiter that admits one part in shares of every account.
+func NewStatic(views func() *environment.View, shares int, clock clockwork.Clock) *Static {
+	return &Static{views: views, shares: int64(shares), clock: clock, buckets: make(map[string]*staticBucket)}
+}
+
+// Reserve implements Limiter.
+func (s *Static) Reserve(_ context.Context, account string, tokens int64) (Reservation, error) {
+	record := s.views().Account(account)
+	if record == nil {
+		return nil, &RefusedError{Account: account, Tokens: tokens, Reason: ReasonNoAccount, RetryAfter: time.Second}
+	}
+	rate := float64(record.RateTokensPerSecond) / float64(s.shares)
+	burst := float64(record.BurstTokens) / float64(s.shares)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	b := s.buckets[account]
+	if b == nil {
+		b = &staticBucket{tokens: burst, at: now}
+		s.buckets[account] = b
+	}
+	b.tokens = min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
+	b.at = now
+	if b.tokens < float64(tokens) {
+		missing := (float64(tokens) - b.tokens) / rate
+		return nil, &RefusedError{Account: account, Tokens: tokens, Reason: ReasonRate, RetryAfter: time.Duration(missing * float64(time.Second))}
+	}
+	b.tokens -= float64(tokens)
+	return &staticReservation{limiter: s, bucket: b, tokens: tokens}, nil
+}
+
+type staticReservation struct {
+	limiter *Static
+	bucket  *staticBucket
+	tokens  int64
+}
+
+// Settle implements Reservation.
+func (r *staticReservation) Settle(used int64) {
+	r.limiter.mu.Lock()
+	defer r.limiter.mu.Unlock()
+	r.bucket.tokens += float64(max(0, r.tokens-used))
+}
