admission: fair queue bounded in time

Need: under overload requests were refused at random or waited without bound, and one account could take every slot.

--- /dev/null
+++ b/internal/admission/picker.go
@@ -0,0 +1,193 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dotterellink/dotterellink/internal/routing"
+)
+
+const (
+	// lookInterval is the time between looks for capacity that became free
+	// without a call of this instance ending.
+	lookInterval = 50 * time.Millisecond
+	// noTargetRetry is the time to come back when no target serves a request.
+	noTargetRetry = time.Second
+)
+
+// Fair lets requests wait for a slot in the order of a Queue. It implements
+// relay.Picker and is safe for concurrent use.
+//
+// Lock order: mu before the locks of the router.
+type Fair struct {
+	router  Router
+	clock   clockwork.Clock
+	metrics *metrics
+
+	mu    sync.Mutex
+	queue *Queue
+	// results holds where each waiting request learns its fate.
+	results map[*Ticket]chan result
+}
+
+type result struct {
+	slot *routing.Slot
+	err  error
+}
+
+// NewFair returns a picker with an empty queue.
+func NewFair(router Router, clock clockwork.Clock, registerer prometheus.Registerer) *Fair {
+	return &Fair{
+		router:  router,
+		clock:   clock,
+		metrics: newMetrics(registerer),
+		queue:   NewQueue(),
+		results: make(map[*Ticket]chan result),
+	}
+}
+
+// Run looks for free capacity and ends waits until ctx ends.
+func (f *Fair) Run(ctx context.Context) error {
+	ticker := f.clock.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			f.Look()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Pick implements relay.Picker.
+func (f *Fair) Pick(ctx context.Context, request routing.Request) (*routing.Slot, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	slot, ticket, wait, err := f.begin(request)
+	if ticket == nil {
+		return slot, err
+	}
+	select {
+	case r := <-wait:
+		return r.slot, r.err
+	case <-ctx.Done():
+		f.abandon(ticket, wait)
+		return nil, ctx.Err()
+	}
+}
+
+// begin returns a slot, a refusal, or a ticket to wait with.
+func (f *Fair) begin(request routing.Request) (*routing.Slot, *Ticket, chan result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	slot, err := f.tryPick(now, &request, !f.queue.HasWaiting(&request))
+	if slot != nil || !errors.Is(err, routing.ErrNoCapacity) {
+		return slot, nil, nil, f.refusal(&request, err)
+	}
+	ticket, refused := f.queue.Enqueue(now, request)
+	if refused != nil {
+		return nil, nil, nil, f.refusal(&request, refused)
+	}
+	wait := make(chan result, 1)
+	f.results[ticket] = wait
+	f.metrics.waiting.Set(float64(f.queue.Waiting()))
+	return nil, ticket, wait, nil
+}
+
+// tryPick requires mu. A request that has to wait behind others is not tried.
+func (f *Fair) tryPick(now time.Time, request *routing.Request, isFirst bool) (*routing.Slot, error) {
+	if !isFirst {
+		return nil, routing.ErrNoCapacity
+	}
+	slot, err := f.router.Pick(*request)
+	if err != nil {
+		return nil, err
+	}
+	f.queue.Started(request)
+	return routing.NewSlot(slot.Target, func(outcome routing.Outcome) {
+		slot.Done(outcome)
+		f.finished(request, now, outcome)
+	}), nil
+}
+
+func (f *Fair) finished(request *routing.Request, started time.Time, outcome routing.Outcome) {
+	f.mu.Lock()
+	f.queue.Finished(request, f.clock.Since(started), outcome)
+	f.mu.Unlock()
+	f.Look()
+}
+
+// refusal makes the final error of a request and counts it.
+func (f *Fair) refusal(request *routing.Request, err error) error {
+	if errors.Is(err, routing.ErrNoTarget) {
+		err = &RefusedError{Reason: ReasonNoTarget, RetryAfter: noTargetRetry, cause: err}
+	}
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		f.metrics.refused.WithLabelValues(request.Account, string(refused.Reason)).Inc()
+	}
+	return err
+}
+
+// Look ends the waits that are over and gives free slots to waiting requests.
+func (f *Fair) Look() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.queue.Waiting() == 0 {
+		return
+	}
+	now := f.clock.Now()
+	for _, t := range f.queue.Expired(now) {
+		after := max(minRetryAfter, f.queue.Expected(now, &t.Request))
+		f.answer(now, t, nil, &RefusedError{Reason: ReasonExpired, RetryAfter: after, cause: routing.ErrNoCapacity})
+	}
+	full := NewSkipped()
+	for t := f.queue.Next(now, full); t != nil; t = f.queue.Next(now, full) {
+		slot, err := f.tryPick(now, &t.Request, true)
+		if errors.Is(err, routing.ErrNoCapacity) {
+			full.Add(t)
+			continue
+		}
+		f.queue.Remove(t)
+		f.answer(now, t, slot, err)
+	}
+	f.metrics.waiting.Set(float64(f.queue.Waiting()))
+}
+
+// answer requires mu.
+func (f *Fair) answer(now time.Time, t *Ticket, slot *routing.Slot, err error) {
+	f.metrics.wait.WithLabelValues(string(t.Request.Class)).Observe(now.Sub(t.Arrived).Seconds())
+	f.results[t] <- result{slot: slot, err: f.refusal(&t.Request, err)}
+	delete(f.results, t)
+}
+
+// abandon takes a request out whose caller left. A slot that it got in the
+// meantime is given back.
+func (f *Fair) abandon(t *Ticket, wait chan result) {
+	f.mu.Lock()
+	f.queue.Remove(t)
+	delete(f.results, t)
+	f.mu.Unlock()
+	select {
+	case r := <-wait:
+		if r.slot != nil {
+			r.slot.Done(routing.Cancelled)
+		}
+	default:
+	}
+}
+
+// Waiting returns the number of requests that wait.
+func (f *Fair) Waiting() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.queue.Waiting()
+}
--- /dev/null
+++ b/internal/admission/picker_test.go
@@ -0,0 +1,170 @@
+package admission_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dotterellink/dotterellink/internal/admission"
+	"github.com/dotterellink/dotterellink/internal/environment"
+	"github.com/dotterellink/dotterellink/internal/routing"
+)
+
+// router is a fake with slots per model; a model without an entry has no target.
+type router struct {
+	free map[string]int
+}
+
+func (r *router) Pick(request routing.Request) (*routing.Slot, error) {
+	free, ok := r.free[request.Served]
+	if !ok {
+		return nil, routing.ErrNoTarget
+	}
+	if free == 0 {
+		return nil, routing.ErrNoCapacity
+	}
+	r.free[request.Served]--
+	return routing.NewSlot(&environment.Target{Name: request.Served}, func(routing.Outcome) { r.free[request.Served]++ }), nil
+}
+
+var _ = Describe("Fair", func() {
+	var clock *clockwork.FakeClock
+	var targets *router
+	var picker *admission.Fair
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClockAt(origin)
+		targets = &router{free: map[string]int{"reader": 1, "planner": 1}}
+		picker = admission.NewFair(targets, clock, prometheus.NewRegistry())
+	})
+
+	request := func(account, served string, class routing.Class) routing.Request {
+		return routing.Request{Account: account, Served: served, Class: class, Deadline: clock.Now().Add(time.Minute)}
+	}
+
+	// wait starts a Pick and returns once it waits.
+	wait := func(ctx context.Context, r routing.Request) chan error {
+		done := make(chan error, 1)
+		before := picker.Waiting()
+		go func() {
+			_, err := picker.Pick(ctx, r)
+			done <- err
+		}()
+		Eventually(picker.Waiting).Should(Equal(before + 1))
+		return done
+	}
+
+	occupy := func() *routing.Slot {
+		slot, err := picker.Pick(context.Background(), request("a", "reader", routing.ClassInteractive))
+		Expect(err).NotTo(HaveOccurred())
+		return slot
+	}
+
+	It("gives a freed slot to the waiting request", func() {
+		slot := occupy()
+		done := wait(context.Background(), request("b", "reader", routing.ClassInteractive))
+		slot.Done(routing.Completed)
+		Expect(<-done).NotTo(HaveOccurred())
+	})
+
+	It("does not let one model's queue hold up another", func() {
+		occupy()
+		wait(context.Background(), request("b", "reader", routing.ClassInteractive))
+		_, err := picker.Pick(context.Background(), request("b", "planner", routing.ClassInteractive))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("refuses at once where no target serves", func() {
+		_, err := picker.Pick(context.Background(), request("a", "nobody", routing.ClassInteractive))
+		Expect(err).To(MatchError(routing.ErrNoTarget))
+		var refused *admission.RefusedError
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.RetryAfterHint()).To(BeNumerically(">", 0))
+	})
+
+	It("refuses at once what would wait longer than its class allows", func() {
+		slot := occupy()
+		clock.Advance(time.Second)
+		slot.Done(routing.Completed)
+		occupy()
+		wait(context.Background(), request("b", "reader", routing.ClassInteractive))
+		wait(context.Background(), request("c", "reader", routing.ClassInteractive))
+		_, err := picker.Pick(context.Background(), request("c", "reader", routing.ClassInteractive))
+		var refused *admission.RefusedError
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.Reason).To(Equal(admission.ReasonOverloaded))
+		Expect(refused.RetryAfter).To(Equal(3 * time.Second))
+	})
+
+	It("ends a wait long before the deadline", func() {
+		occupy()
+		done := wait(context.Background(), request("b", "reader", routing.ClassInteractive))
+		clock.Advance(2 * time.Second)
+		picker.Look()
+		var err error
+		Eventually(done).Should(Receive(&err))
+		Expect(err).To(MatchError(routing.ErrNoCapacity))
+	})
+
+	It("forgets a caller who leaves", func() {
+		slot := occupy()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := wait(ctx, request("b", "reader", routing.ClassInteractive))
+		cancel()
+		Expect(<-done).To(MatchError(context.Canceled))
+		slot.Done(routing.Completed)
+		occupy()
+	})
+})
+
+var _ = Describe("Queue", func() {
+	var queue *admission.Queue
+
+	BeforeEach(func() { queue = admission.NewQueue() })
+
+	add := func(now time.Time, account string, class routing.Class, deadline time.Duration) {
+		_, refused := queue.Enqueue(now, routing.Request{Account: account, Served: "reader", Class: class, Deadline: now.Add(deadline)})
+		Expect(refused).To(BeNil())
+	}
+
+	// drain returns the accounts in the order in which they are served.
+	drain := func(now time.Time) (out []string) {
+		for t := queue.Next(now, admission.NewSkipped()); t != nil; t = queue.Next(now, admission.NewSkipped()) {
+			queue.Remove(t)
+			queue.Started(&t.Request)
+			out = append(out, fmt.Sprintf("%s/%s/%v", t.Request.Account, t.Request.Class, t.Request.Deadline.Sub(t.Arrived)))
+		}
+		return out
+	}
+
+	It("shares among accounts, earliest deadline first within one", func() {
+		for i := range 4 {
+			add(origin, "many", routing.ClassInteractive, time.Duration(40-10*i)*time.Second)
+		}
+		add(origin, "few", routing.ClassInteractive, time.Minute)
+		Expect(drain(origin)).To(Equal([]string{
+			"many/interactive/10s", "few/interactive/1m0s", "many/interactive/20s", "many/interactive/30s", "many/interactive/40s",
+		}))
+	})
+
+	It("serves interactive requests first, but batch requests that aged as well", func() {
+		add(origin, "evening", routing.ClassBatch, time.Hour)
+		later := origin.Add(time.Second)
+		add(later, "bench", routing.ClassInteractive, time.Minute)
+		Expect(drain(later)).To(HaveExactElements(HavePrefix("bench"), HavePrefix("evening")))
+
+		add(origin, "evening", routing.ClassBatch, time.Hour)
+		later = origin.Add(6 * time.Second)
+		for range 3 {
+			add(later, "bench", routing.ClassInteractive, time.Minute)
+		}
+		Expect(drain(later)[0]).To(HavePrefix("evening"))
+	})
+})
--- a/internal/instance/wire_admission.go
+++ b/internal/instance/wire_admission.go
@@ -1,12 +1,48 @@
 package instance
 
 import (
+	"context"
+	"time"
+
 	"github.com/dotterellink/dotterellink/internal/admission"
+	"github.com/dotterellink/dotterellink/internal/environment"
 	"github.com/dotterellink/dotterellink/internal/quota"
+	"github.com/dotterellink/dotterellink/internal/settings"
 )
 
+// handOverLimit bounds the time in which shares are given back at a planned
+// stop; running calls go on meanwhile.
+const handOverLimit = 12 * time.Second
+
 // wireAdmission makes the parts that admit and order requests.
 func (i *Instance) wireAdmission() {
-	i.limiter = quota.NewStatic(i.store.View, 1, i.deps.Clock)
-	i.picker = admission.NewDirect(i.router)
+	i.wireQuota()
+	if i.settings.Policies.Queue == settings.PolicyNone {
+		i.picker = admission.NewDirect(i.router)
+		return
+	}
+	fair := admission.NewFair(i.router, i.deps.Clock, i.registry)
+	i.run(fair.Run)
+	i.picker = fair
+}
+
+func (i *Instance) wireQuota() {
+	escrow := quota.New(quota.Config{
+		Environment: i.settings.Environment,
+		Mesh:        i.node,
+		Objects:     i.deps.Objects,
+		Views:       i.store.View,
+		Members:     i.membership.Members,
+		Clock:       i.deps.Clock,
+		Log:         i.part("quota"),
+		Metrics:     i.registry,
+	})
+	i.limiter = escrow
+	i.store.Subscribe(func(*environment.View) { escrow.Poke() })
+	i.run(escrow.Run)
+	i.drainWith(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, handOverLimit)
+		defer cancel()
+		escrow.Leave(ctx)
+	})
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -64,10 +64,23 @@
 type Slot struct {
 	Target *environment.Target
 	router *Router
+	// free replaces the router's accounting if it is set.
+	free func(Outcome)
+}
+
+// NewSlot returns a slot on target whose Done calls free.
+func NewSlot(target *environment.Target, free func(Outcome)) *Slot {
+	return &Slot{Target: target, free: free}
 }
 
 // Done frees the slot.
-func (s *Slot) Done(outcome Outcome) { s.router.done(s, outcome) }
+func (s *Slot) Done(outcome Outcome) {
+	if s.free != nil {
+		s.free(outcome)
+		return
+	}
+	s.router.done(s, outcome)
+}
 
 // Router keeps the calls in flight of this instance. It is safe for concurrent
 // use.
