--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -63,8 +63,8 @@
 // Policy: interactive requests go before batch requests, which count as
 // interactive after batchAging. Among requests of one class, accounts share by
 // start-time fair queueing with one unit per call: an account that has just
-// been served moves behind those that have not. Within an account the earliest
-// deadline goes first.
+// been served moves behind those that have not. Within an account, and among
+// accounts that have had equal service, the earliest deadline goes first.
 type Queue struct {
 	routes map[route]*routeState
 	// virtual is the start tag of the request dispatched last; finish holds the
@@ -221,7 +221,7 @@
 	if sa, sb := q.start(a.Request.Account), q.start(b.Request.Account); sa != sb {
 		return sa < sb
 	}
-	if a.Request.Account == b.Request.Account && !a.Request.Deadline.Equal(b.Request.Deadline) {
+	if !a.Request.Deadline.Equal(b.Request.Deadline) {
 		return a.Request.Deadline.Before(b.Request.Deadline)
 	}
 	return a.seq < b.seq
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -10,8 +12,9 @@
 )
 
 const (
-	methodLoan = "quota.loan"
-	methodKept = "quota.kept"
+	methodLoan   = "quota.loan"
+	methodReturn = "quota.return"
+	methodKept   = "quota.kept"
 
 	// gatherLimit bounds the time that a request waits for loans.
 	gatherLimit = 100 * time.Millisecond
@@ -21,6 +24,10 @@
 	maxAsked = 24
 	// slowFor is how long a peer that did not answer is not asked again.
 	slowFor = time.Second
+	// returnInterval is the time between messages that give tokens back.
+	returnInterval = 500 * time.Millisecond
+	// returnTimeout bounds the answer to one of them.
+	returnTimeout = 200 * time.Millisecond
 	// minDry and maxDry bound the time without asking after all peers had too
 	// little.
 	minDry = 50 * time.Millisecond
@@ -71,7 +78,7 @@
 		e.slow[peer] = now.Add(slowFor)
 		return false
 	}
-	e.ledger.Accept(now, asked, account, answer)
+	e.ledger.Accept(now, asked, peer, request, answer)
 	e.metrics.borrowed.WithLabelValues(account).Add(answer.Part.Burst)
 	return answer.Part.Burst > 0
 }
@@ -88,6 +95,53 @@
 	return answer, nil
 }
 
+// returnMessage gives tokens of ended loans back.
+type returnMessage struct {
+	Returns []loanReturn `msgpack:"r"`
+}
+
+type returnAnswer struct{}
+
+// ReturnLoans gives back what is left of ended loans. Returns that are not
+// confirmed are repeated by the next call.
+func (e *Escrow) ReturnLoans(ctx context.Context) {
+	e.mu.Lock()
+	returns := e.ledger.Returns(e.now())
+	e.mu.Unlock()
+	for _, lender := range slices.Sorted(maps.Keys(returns)) {
+		list := returns[lender]
+		ctx, cancel := context.WithTimeout(ctx, returnTimeout)
+		_, err := mesh.Call[returnMessage, returnAnswer](ctx, e.config.Mesh, lender, methodReturn, &returnMessage{Returns: list})
+		cancel()
+		if err == nil {
+			e.mu.Lock()
+			e.ledger.Told(e.now(), list)
+			e.mu.Unlock()
+		}
+	}
+}
+
+func (e *Escrow) onReturn(_ context.Context, _ mesh.Peer, m *returnMessage) (*returnAnswer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ledger.TakeBack(e.now(), m.Returns)
+	return &returnAnswer{}, nil
+}
+
+// returnRegularly gives loans back until ctx ends.
+func (e *Escrow) returnRegularly(ctx context.Context) {
+	ticker := e.config.Clock.NewTicker(returnInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			e.ReturnLoans(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // lenders returns the peers to ask, those of the own zone first, in random
 // order within each part, so that loans spread.
 func (e *Escrow) lenders() []string {
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -48,12 +48,17 @@
 func (b *bucket) resize(share Share) {
 	if share.Burst < b.level+b.outstanding && share.Burst < b.share.Burst-tokenEpsilon {
 		b.level = math.Min(b.level, share.Burst)
-		b.epoch++
-		b.outstanding = 0
+		b.forbidRefunds()
 	}
 	b.share = share
 }
 
+// forbidRefunds drops the refunds of all that was taken so far.
+func (b *bucket) forbidRefunds() {
+	b.epoch++
+	b.outstanding = 0
+}
+
 // moveOut takes tokens out together with the same capacity and a rate. The
 // caller has checked that the level and the rate suffice. It clips neither the
 // bucket nor its ideal.
--- a/internal/quota/escrow.go
+++ b/internal/quota/escrow.go
@@ -83,6 +83,7 @@
 		incarnation: uuid.NewString(),
 	}
 	mesh.Handle(c.Mesh, methodLoan, e.onLoan)
+	mesh.Handle(c.Mesh, methodReturn, e.onReturn)
 	mesh.Handle(c.Mesh, methodKept, e.onKept)
 	return e
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -8,9 +8,9 @@
 
 const (
 	// demandWindow is the time constant of the demand estimate.
-	demandWindow = 5 * time.Second
+	demandWindow = time.Second
 	// loanDuration is how long a loan lasts at most.
-	loanDuration = 10 * time.Second
+	loanDuration = 2 * time.Second
 )
 
 // Ledger holds the tokens of all accounts at one instance: its own shares, what
@@ -33,24 +33,15 @@
 	share    Share
 	lent     []*lentLoan
 	borrowed []*borrowedLoan
+	// ended holds loans given back, whose tokens may still come; frozen holds
+	// borrowed loans that are over, with tokens to return.
+	ended  []*lentLoan
+	frozen []*borrowedLoan
 	// demand is the estimate of tokens asked for per second.
 	demand   float64
 	demandAt time.Time
 }
 
-// lentLoan is a loan as the lender keeps it.
-type lentLoan struct {
-	id    string
-	part  Share
-	until time.Time
-}
-
-// borrowedLoan is a loan as the borrower keeps it.
-type borrowedLoan struct {
-	bucket *bucket
-	until  time.Time
-}
-
 // NewLedger returns a ledger without shares.
 func NewLedger() *Ledger { return &Ledger{accounts: make(map[string]*accountLedger)} }
 
@@ -82,15 +73,9 @@
 
 // advance ends loans that are over and adds accrued tokens.
 func (a *accountLedger) advance(now time.Time) {
-	for len(a.lent) > 0 && !a.lent[0].until.After(now) {
-		a.own.advance(a.lent[0].until)
-		a.lent = a.lent[1:]
-		a.fit()
-	}
+	a.endLent(now)
 	a.own.advance(now)
-	for len(a.borrowed) > 0 && !a.borrowed[0].until.After(now) {
-		a.borrowed = a.borrowed[1:]
-	}
+	a.freeze(now)
 	for _, b := range a.borrowed {
 		b.bucket.advance(now)
 	}
@@ -122,6 +107,9 @@
 func (l *Ledger) SetShare(now time.Time, name string, share Share, full bool) bool {
 	a := l.account(now, name)
 	isNew := a.share == Share{} && len(a.lent) == 0
+	if share.Burst < a.share.Burst-tokenEpsilon && len(a.lent)+len(a.ended) > 0 {
+		a.own.forbidRefunds()
+	}
 	a.share = share
 	a.fit()
 	if full && isNew {
@@ -152,7 +140,7 @@
 // Forget drops an account without shares or loans.
 func (l *Ledger) Forget(now time.Time, name string) {
 	a := l.account(now, name)
-	if a.share == (Share{}) && len(a.lent) == 0 && len(a.borrowed) == 0 {
+	if a.share == (Share{}) && len(a.lent)+len(a.borrowed)+len(a.ended)+len(a.frozen) == 0 {
 		delete(l.accounts, name)
 	}
 }
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -8,10 +8,10 @@
 
 const (
 	// keepAhead is the time for whose demand a lender keeps tokens.
-	keepAhead = 2 * time.Second
+	keepAhead = 500 * time.Millisecond
 	// borrowAhead is the time for whose demand a borrower asks tokens beyond the
 	// request at hand.
-	borrowAhead = 2 * time.Second
+	borrowAhead = 500 * time.Millisecond
 	// demandMargin is the factor on a lender's demand for the rate that it keeps.
 	demandMargin = 1.2
 )
@@ -64,7 +64,7 @@
 		return &loanAnswer{}
 	}
 	a.own.moveOut(part)
-	a.lent = append(a.lent, &lentLoan{id: r.ID, part: part, until: now.Add(lasts)})
+	a.lent = append(a.lent, &lentLoan{id: r.ID, part: part, until: now.Add(lasts), epoch: a.own.epoch})
 	sort.SliceStable(a.lent, func(i, j int) bool { return a.lent[i].until.Before(a.lent[j].until) })
 	return &loanAnswer{Part: part, LastsMS: lasts.Milliseconds()}
 }
@@ -81,14 +81,19 @@
 	}
 }
 
-// Accept takes a loan that was asked for at asked. A loan that is over already
-// is lost.
-func (l *Ledger) Accept(now, asked time.Time, name string, answer *loanAnswer) {
+// Accept takes a loan that lender was asked for at asked. A loan that is over
+// already is lost.
+func (l *Ledger) Accept(now, asked time.Time, lender string, r *loanRequest, answer *loanAnswer) {
 	until := asked.Add(time.Duration(answer.LastsMS) * time.Millisecond)
 	if answer.Part.Burst <= 0 || !until.After(now) {
 		return
 	}
-	a := l.account(now, name)
-	a.borrowed = append(a.borrowed, &borrowedLoan{bucket: newBucket(now, answer.Part, answer.Part.Burst), until: until})
+	a := l.account(now, r.Account)
+	a.borrowed = append(a.borrowed, &borrowedLoan{
+		id:     r.ID,
+		lender: lender,
+		bucket: newBucket(now, answer.Part, answer.Part.Burst),
+		until:  until,
+	})
 	sort.SliceStable(a.borrowed, func(i, j int) bool { return a.borrowed[i].until.Before(a.borrowed[j].until) })
 }
--- a/internal/quota/sync.go
+++ b/internal/quota/sync.go
@@ -59,6 +59,7 @@
 // Run follows the divisions until ctx ends.
 func (e *Escrow) Run(ctx context.Context) error {
 	go e.actRegularly(ctx)
+	go e.returnRegularly(ctx)
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = minRetry
 	retry.MaxInterval = maxRetry
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -135,6 +135,7 @@
 	ctx := platformstandin.WithZone(context.Background(), n.zone)
 	_ = n.escrow.Follow(ctx, 0)
 	_ = n.escrow.Act(ctx)
+	n.escrow.ReturnLoans(ctx)
 }
 
 // settle lets every instance follow and act until nothing changes.
