--- a/internal/standin/enginestandin/orders.go
+++ b/internal/standin/enginestandin/orders.go
@@ -139,3 +139,12 @@
 	}
 	return key.model
 }
+
+// Holds reports whether the model or adapter is ready now, whatever reports
+// show.
+func (e *Engine) Holds(model, adapter string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.residents[residentKey{model, adapter}]
+	return r != nil && r.State == target.ResidencyReady
+}
