--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,259 @@
+package orders_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dotterellink/dotterellink/internal/environment"
+	"github.com/dotterellink/dotterellink/internal/orders"
+	"github.com/dotterellink/dotterellink/internal/orders/orderstest"
+	"github.com/dotterellink/dotterellink/internal/standin/enginestandin"
+	"github.com/dotterellink/dotterellink/internal/standin/platformstandin"
+	"github.com/dotterellink/dotterellink/internal/target"
+)
+
+const (
+	engineMB   = 100
+	modelMB    = 60
+	maxDelayMS = 5000
+	// takeoverBound is the bound from a death to the first order of the
+	// next orderer.
+	takeoverBound = 10 * time.Second
+)
+
+// newWorld has three instances and two engines, of which each holds a copy of
+// the model "a"; an engine bears one of the models "a" and "b" at a time.
+func newWorld(checksFencing bool) *orderstest.World {
+	w := orderstest.New(environment.Document{
+		Zones:  []environment.Zone{{Name: "z1"}},
+		Models: []environment.Model{{Name: "a", MemoryMB: modelMB}, {Name: "b", MemoryMB: modelMB}, {Name: "c", MemoryMB: modelMB}},
+	})
+	for n := range 2 {
+		cfg := enginestandin.DefaultConfig(fmt.Sprintf("e%d", n))
+		cfg.MemoryMB, cfg.ChecksFencing = engineMB, checksFencing
+		cfg.Residents = []target.Resident{{Model: "a", MemoryMB: modelMB}}
+		w.AddEngine("z1", cfg, maxDelayMS)
+	}
+	for n := range 3 {
+		w.AddInstance(fmt.Sprintf("i%d", n), "z1")
+	}
+	w.Run(3 * time.Second)
+	return w
+}
+
+func load(engine, model string) orders.Move {
+	return orders.Move{Target: engine, Action: target.ActionLoadModel, Resource: orders.Resource{Model: model}, MemoryMB: modelMB}
+}
+
+func unload(engine, model string) orders.Move {
+	return orders.Move{Target: engine, Action: target.ActionUnloadModel, Resource: orders.Resource{Model: model}, MemoryMB: modelMB}
+}
+
+func expectNoOvercommit(w *orderstest.World) {
+	GinkgoHelper()
+	for _, e := range w.Engines {
+		witness := e.Witness()
+		Expect(witness.Overcommits).To(BeZero())
+		Expect(witness.PeakMemoryMB).To(BeNumerically("<=", witness.MemoryMB))
+	}
+}
+
+// orderer returns the instance that may order the target.
+func orderer(w *orderstest.World, n int) *orderstest.Instance {
+	for _, i := range w.Instances {
+		if _, err := i.Leases.Held(orders.GroupOf(&w.State.Document.Targets[n]), 0); err == nil && !i.Dead {
+			return i
+		}
+	}
+	return nil
+}
+
+var _ = Describe("Orders", func() {
+	for _, fencing := range []bool{true, false} {
+		Context(fmt.Sprintf("to engines with fencing checks %t", fencing), func() {
+			var w *orderstest.World
+			var engine *enginestandin.Engine
+
+			BeforeEach(func() {
+				w = newWorld(fencing)
+				engine = w.Engines[0]
+			})
+			swap := func() {
+				w.AddMove(unload("e0", "a"))
+				w.AddMove(load("e0", "b"))
+			}
+
+			It("unloads before it loads where memory is for one", func() {
+				swap()
+				w.Run(20 * time.Second)
+				Expect(engine.Holds("b", "")).To(BeTrue())
+				expectNoOvercommit(w)
+			})
+
+			It("refuses a load that does not fit", func() {
+				seq := w.AddMove(load("e0", "b"))
+				w.Run(5 * time.Second)
+				Expect(w.Record("e0").DoneThrough).To(Equal(seq))
+				Expect(engine.Witness().Orders).To(BeEmpty())
+			})
+
+			It("sends lost orders again and frees nothing meanwhile", func() {
+				engine.SetFaults(enginestandin.Faults{LoseOrders: 2})
+				swap()
+				w.Run(30 * time.Second)
+				Expect(engine.Holds("b", "")).To(BeTrue())
+				expectNoOvercommit(w)
+			})
+
+			It("learns the outcome of orders whose answers are lost", func() {
+				engine.SetFaults(enginestandin.Faults{LoseOrderAnswers: 5})
+				swap()
+				w.Run(30 * time.Second)
+				Expect(engine.Holds("b", "")).To(BeTrue())
+				expectNoOvercommit(w)
+			})
+
+			It("waits for delayed orders whose reports lag", func() {
+				engine.SetFaults(enginestandin.Faults{OrderDelayMS: maxDelayMS - 100})
+				swap()
+				w.Run(time.Minute)
+				Expect(engine.Holds("b", "")).To(BeTrue())
+				expectNoOvercommit(w)
+			})
+
+			It("keeps the memory of an unloaded model while a doubled load may still arrive", func() {
+				w.AddMove(unload("e0", "a"))
+				w.Run(20 * time.Second)
+				engine.SetFaults(enginestandin.Faults{DoubleOrders: 1, DoubleDelayMS: maxDelayMS})
+				w.AddMove(load("e0", "a"))
+				w.Run(3 * time.Second)
+				Expect(engine.Holds("a", "")).To(BeTrue())
+				w.AddMove(unload("e0", "a"))
+				w.AddMove(load("e0", "c"))
+				w.Run(20 * time.Second)
+				Expect(engine.Holds("c", "")).To(BeTrue())
+				expectNoOvercommit(w)
+			})
+
+			It("is taken over within the bound of a death, and learns what was under way", func() {
+				engine.SetFaults(enginestandin.Faults{LoseOrders: 1})
+				w.AddMove(unload("e0", "a"))
+				w.Run(time.Second)
+				before := w.Record("e0")
+				Expect(before.Entry(orders.Resource{Model: "a"}).State).To(Equal(orders.EntryUnloading))
+				dead := orderer(w, 0)
+				dead.Dead = true
+				token := before.Token
+				w.Run(takeoverBound)
+				Expect(orderer(w, 0)).NotTo(BeNil())
+				sent := engine.Witness().Orders
+				Expect(sent).NotTo(BeEmpty())
+				Expect(sent[len(sent)-1].FencingToken).To(BeNumerically(">", token))
+			})
+
+			It("does not order from an orderer that wakes past its lease", func() {
+				old := orderer(w, 0)
+				old.Paused = true
+				w.Run(takeoverBound)
+				swap()
+				old.Paused = false
+				w.Run(20 * time.Second)
+				tokens := make(map[uint64]bool)
+				for _, o := range engine.Witness().Orders {
+					tokens[o.FencingToken] = true
+				}
+				Expect(tokens).To(HaveLen(1))
+				Expect(engine.Holds("b", "")).To(BeTrue())
+			})
+
+			It("bears an orderer that stops between its last look at the clock and the sending", func() {
+				paused := false
+				w.Gap = func(*orderstest.Instance) {
+					if !paused {
+						paused = true
+						w.AddMove(unload("e0", "b"))
+						w.AddMove(load("e0", "c"))
+						w.Run(20 * time.Second)
+					}
+				}
+				w.AddMove(unload("e0", "a"))
+				w.Run(50 * time.Second)
+				paused = false
+				w.AddMove(load("e0", "b"))
+				w.Run(2 * time.Minute)
+				expectNoOvercommit(w)
+				Expect(engine.Holds("c", "")).To(BeTrue())
+			})
+
+			It("sends nothing while the intent cannot be stored", func() {
+				w.Store.SetFaults(platformstandin.Faults{Outage: true})
+				swap()
+				w.Run(20 * time.Second)
+				Expect(engine.Witness().Orders).To(BeEmpty())
+				w.Store.SetFaults(platformstandin.Faults{LoseAnswerShare: 0.5})
+				w.Run(time.Minute)
+				Expect(engine.Holds("b", "")).To(BeTrue())
+				expectNoOvercommit(w)
+			})
+
+			It("never unloads the last copy", func() {
+				w.AddMove(unload("e0", "a"))
+				w.Run(15 * time.Second)
+				Expect(engine.Holds("a", "")).To(BeFalse())
+				seq := w.AddMove(unload("e1", "a"))
+				w.Run(15 * time.Second)
+				Expect(w.Record("e1").DoneThrough).To(Equal(seq))
+				Expect(w.Engines[1].Holds("a", "")).To(BeTrue())
+			})
+
+			It("takes no copy on an engine with frozen reports for one", func() {
+				w.Engines[1].SetFaults(enginestandin.Faults{FreezeReports: true})
+				w.Run(5 * time.Second)
+				w.AddMove(unload("e0", "a"))
+				w.Run(15 * time.Second)
+				Expect(engine.Holds("a", "")).To(BeTrue())
+			})
+
+			It("takes no copy on a leaving target for one", func() {
+				w.State.TargetsLeaving = []string{"e1"}
+				w.Run(time.Second)
+				w.AddMove(unload("e0", "a"))
+				w.Run(15 * time.Second)
+				Expect(engine.Holds("a", "")).To(BeTrue())
+			})
+
+			It("hands over at once on a planned stop", func() {
+				old := orderer(w, 0)
+				old.Orderer.Stop()
+				old.Leases.ReleaseAll(GinkgoT().Context())
+				old.Dead = true
+				w.Run(2 * time.Second)
+				Expect(orderer(w, 0)).NotTo(BeNil())
+				swap()
+				w.Run(30 * time.Second)
+				Expect(engine.Holds("b", "")).To(BeTrue())
+			})
+		})
+	}
+
+	It("spreads targets over the instances of their own zone", func() {
+		w := orderstest.New(environment.Document{Zones: []environment.Zone{{Name: "z1"}, {Name: "z2"}}})
+		for n := range 8 {
+			w.AddEngine(fmt.Sprintf("z%d", 1+n%2), enginestandin.DefaultConfig(fmt.Sprintf("e%d", n)), 0)
+		}
+		for n := range 4 {
+			w.AddInstance(fmt.Sprintf("i%d", n), fmt.Sprintf("z%d", 1+n%2))
+		}
+		w.Run(5 * time.Second)
+		holders := make(map[string]bool)
+		for n := range 8 {
+			holder := orderer(w, n)
+			Expect(holder.Zone).To(Equal(w.State.Document.Targets[n].Zone))
+			holders[holder.Name] = true
+		}
+		Expect(len(holders)).To(BeNumerically(">=", 3))
+	})
+})
--- a/internal/standin/platformstandin/store.go
+++ b/internal/standin/platformstandin/store.go
@@ -101,6 +101,13 @@
 	s.faults = f
 }
 
+// Faults returns the faults in force.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // SetRates replaces the limits in calls per second.
 func (s *Store) SetRates(reads, writes float64) {
 	now := s.clock.Now()
