Placement: a planner with priced moves, baselines, orderers that carry them out

Need: every model and adapter reachable, within the weight store's limits, with demand that moves tenfold in an hour.

Seen failing: three loads at once where two are allowed, because a repeated load order settled at once while the first still ran; the ledger now ends a load only when the report no longer shows it loading.

--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -123,7 +123,8 @@
 	} else {
 		l.stepUnload(&step, now, report)
 	}
-	if step.Outcome == OutcomeNone && step.Order == nil && now.Sub(l.began) > giveUpAfter {
+	isOver := now.Sub(l.began) > giveUpAfter && !isLoading(report, step.Move.Resource)
+	if step.Outcome == OutcomeNone && step.Order == nil && isOver {
 		step.end(OutcomeGaveUp)
 	}
 	return step
@@ -161,7 +162,7 @@
 	for _, e := range r.Entries {
 		ended := slices.Contains(report.SettledOrders, e.OrderID)
 		switch {
-		case e.State == EntryLoading && ended:
+		case e.State == EntryLoading && ended && !isLoading(report, e.Resource):
 			e.State, changed = EntryHeld, true
 			r.SeenAsOf = max(r.SeenAsOf, report.AsOf)
 		case e.State == EntryUnloading && ended && resident(report, e.Resource) == nil:
@@ -195,6 +196,8 @@
 		step.end(OutcomeDone)
 	case e != nil && e.State == EntryHeld && (e.Move == m.Seq || isReady(report, m.Resource)):
 		step.end(OutcomeDone)
+	case isLoading(report, m.Resource):
+		// The load has begun; a repeated order would say nothing of its end.
 	case e != nil && e.State == EntryLoading && e.Move == m.Seq:
 		l.repeat(step, e, now)
 	case e != nil && (e.State == EntryGone || e.State == EntryUnloading) && !l.isQuiet(e, now):
@@ -298,6 +301,11 @@
 	return r != nil && r.State == target.ResidencyReady
 }
 
+func isLoading(report *target.Report, k Resource) bool {
+	r := resident(report, k)
+	return r != nil && r.State == target.ResidencyLoading
+}
+
 func hasAdapters(r *Record, report *target.Report, model string) bool {
 	for _, e := range r.Entries {
 		if e.Model == model && e.Adapter != "" && e.State != EntryGone {
--- a/internal/orders/orderstest/world.go
+++ b/internal/orders/orderstest/world.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -44,6 +45,8 @@
 	// Gap runs in an instance between its last look at the clock and the
 	// sending of an order.
 	Gap func(*Instance)
+	// BeforeSend runs in an instance before its last look at the clock.
+	BeforeSend func(*Instance)
 	// Start is called for each instance that starts; it may return a further
 	// part to tick.
 	Start func(*Instance) func(context.Context)
@@ -113,7 +116,7 @@
 	})
 	i.Orderer = orders.New(orders.Config{
 		Environment: Env, Session: session, Objects: w.Store, Leases: i.Leases, Engines: gapped{i}, Snapshot: i.Inventory.Snapshot,
-		Clock: w.Clock, Log: logger, Metrics: prometheus.NewRegistry(), Parallel: 1,
+		Clock: w.Clock, Log: logger, Metrics: prometheus.NewRegistry(), Parallel: 1, BeforeSend: i.beforeSend,
 	})
 	i.extra = nil
 	if w.Start != nil {
@@ -121,6 +124,12 @@
 	}
 }
 
+func (i *Instance) beforeSend() {
+	if i.World.BeforeSend != nil {
+		i.World.BeforeSend(i)
+	}
+}
+
 // Session is the name of the present run of the instance.
 func (i *Instance) Session() string { return fmt.Sprintf("%s-%d", i.Name, i.runs) }
 
@@ -198,6 +207,18 @@
 	plan.LastSeq++
 	m.Seq = plan.LastSeq
 	plan.Moves = append(plan.Moves, m)
+	w.putPlan(plan, version)
+	return m.Seq
+}
+
+// DropMove takes a move out of the stored plan, as a planner with a fault would.
+func (w *World) DropMove(seq uint64) {
+	plan, version := w.Plan()
+	plan.Moves = slices.DeleteFunc(plan.Moves, func(m orders.Move) bool { return m.Seq == seq })
+	w.putPlan(plan, version)
+}
+
+func (w *World) putPlan(plan orders.Plan, version platform.Version) {
 	value, err := json.Marshal(plan)
 	if err != nil {
 		panic(err)
@@ -208,7 +229,6 @@
 	if _, err := w.Store.Put(context.Background(), orders.PlanKey(Env), value, version); err != nil {
 		panic(err)
 	}
-	return m.Seq
 }
 
 // Record returns the stored record of a target, whatever the faults of the
--- /dev/null
+++ b/internal/placement/planner.go
@@ -0,0 +1,431 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dotterellink/dotterellink/internal/environment"
+	"github.com/dotterellink/dotterellink/internal/inventory"
+	"github.com/dotterellink/dotterellink/internal/mesh"
+	"github.com/dotterellink/dotterellink/internal/orders"
+	"github.com/dotterellink/dotterellink/internal/platform"
+)
+
+// ErrPlan means that the plan could not be read or stored.
+var ErrPlan = merry.Sentinel("placement: plan not read or stored")
+
+// LeaseName is the name of the planner's lease.
+const LeaseName = "planner"
+
+const (
+	planInterval = time.Second
+	storeTimeout = time.Second
+	// planGuard is how long the lease must still stand when a plan is written.
+	planGuard = time.Second
+	// startWait is how long a new planner waits for the reports of all targets.
+	startWait = 10 * time.Second
+	// minorityWait is how long a planner holds still that hears from less than
+	// half of the targets: it may be the one that is cut off.
+	minorityWait = 30 * time.Second
+	// loadLasts is the longest time for which a load counts against the weight
+	// store while its target does not report.
+	loadLasts = time.Minute
+	// slotsPerTokenRate converts tokens per second to calls at once until engines
+	// have been seen under load.
+	slotsPerTokenRate = 0.02
+	slotsWeight       = 0.05
+	unlimited         = 1 << 20
+)
+
+// Leases tells whether the instance plans, and who does otherwise.
+type Leases interface {
+	orders.Leases
+	Holder(name string) string
+}
+
+// Config holds what a planner is made of.
+type Config struct {
+	Environment string
+	// Session is unique to the run of the instance.
+	Session  string
+	Objects  platform.Objects
+	Leases   Leases
+	Mesh     mesh.Mesh
+	Snapshot func() *inventory.Snapshot
+	Recorder *Recorder
+	Policy   Policy
+	Clock    clockwork.Clock
+	Log      *log.Logger
+	Metrics  prometheus.Registerer
+}
+
+// Planner decides moves while the instance holds the planner's lease and reports
+// the instance's demand to the planner otherwise. Tick is used by one goroutine.
+type Planner struct {
+	cfg       Config
+	reports   *orders.Reports
+	collected *collector
+	metrics   metrics
+
+	reportedAt time.Time
+	// The fields below hold the term of the planner; term is nil outside one.
+	term *term
+}
+
+// term is what the planner knows while it holds the lease.
+type term struct {
+	plan      orders.Plan
+	version   platform.Version
+	startedAt time.Time
+	records   map[string]versioned
+	seen      map[string]*sighting
+	issued    map[uint64]time.Time
+	series    map[string]*Series
+	used      map[string]time.Time
+	stepAt    time.Time
+	slots     float64
+	tokens    float64
+	tokensAt  time.Time
+	halfAt    time.Time
+}
+
+type versioned struct {
+	record  orders.Record
+	version platform.Version
+}
+
+// NewPlanner returns a planner and sets its handler on the mesh.
+func NewPlanner(c Config) *Planner {
+	p := &Planner{cfg: c, reports: orders.NewReports(), collected: newCollector(), metrics: newMetrics(c.Metrics)}
+	mesh.Handle(c.Mesh, methodDemand, func(_ context.Context, from mesh.Peer, r *demandReport) (*demandAnswer, error) {
+		p.collected.add(from.Name, *r, c.Clock.Now())
+		return &demandAnswer{}, nil
+	})
+	return p
+}
+
+// Run plans until ctx ends.
+func (p *Planner) Run(ctx context.Context) error {
+	ticker := p.cfg.Clock.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		p.Tick(ctx)
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Tick reports demand when that is due and decides moves if the instance plans.
+func (p *Planner) Tick(ctx context.Context) {
+	now := p.cfg.Clock.Now()
+	p.reports.Note(p.cfg.Snapshot(), now)
+	p.reportDemand(ctx, now)
+	if _, err := p.cfg.Leases.Held(LeaseName, planGuard); err != nil {
+		p.term = nil
+		p.metrics.planner.Set(0)
+		return
+	}
+	p.metrics.planner.Set(1)
+	if p.term == nil && !p.begin(ctx) {
+		return
+	}
+	if err := p.plan(ctx); err != nil {
+		p.cfg.Log.Debugf("No plan: %v.", err)
+	}
+}
+
+func (p *Planner) reportDemand(ctx context.Context, now time.Time) {
+	holder := p.cfg.Leases.Holder(LeaseName)
+	if holder == "" || now.Sub(p.reportedAt) < forecastStep {
+		return
+	}
+	p.reportedAt = now
+	report := p.cfg.Recorder.take()
+	if holder == p.cfg.Mesh.Self().Name {
+		p.collected.add(holder, report, now)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if _, err := mesh.Call[demandReport, demandAnswer](ctx, p.cfg.Mesh, holder, methodDemand, &report); err != nil {
+		p.cfg.Log.Debugf("Demand not reported to %s: %v.", holder, err)
+	}
+}
+
+// begin starts a term: it takes the stored plan over and writes it anew, which
+// ends the right of earlier planners to change it.
+func (p *Planner) begin(ctx context.Context) bool {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	var plan orders.Plan
+	object, err := p.cfg.Objects.Get(callCtx, orders.PlanKey(p.cfg.Environment))
+	if err == nil {
+		err = json.Unmarshal(object.Value, &plan)
+	}
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return false
+	}
+	now := p.cfg.Clock.Now()
+	p.term = &term{
+		plan: plan, version: object.Version, startedAt: now, tokensAt: now, slots: slotsPerTokenRate,
+		records: make(map[string]versioned), seen: make(map[string]*sighting), issued: make(map[uint64]time.Time),
+		series: make(map[string]*Series), used: make(map[string]time.Time),
+	}
+	for _, m := range plan.Moves {
+		p.term.issued[m.Seq] = now
+	}
+	plan.Token++
+	plan.Session = p.cfg.Session
+	if err := p.store(ctx, plan); err != nil {
+		p.term = nil
+		return false
+	}
+	p.cfg.Log.Infof("Planning with token %d, %d moves under way.", plan.Token, len(plan.Moves))
+	return true
+}
+
+// store writes the plan on condition of the version last known. Unless it
+// certainly had no effect, a failed write ends the term.
+func (p *Planner) store(ctx context.Context, plan orders.Plan) error {
+	plan.Writes++
+	value, err := json.Marshal(plan)
+	if err != nil {
+		return merry.Wrap(ErrPlan, merry.WithCause(err))
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	key := orders.PlanKey(p.cfg.Environment)
+	object, err := platform.PutSettled(ctx, p.cfg.Objects, p.cfg.Clock, key, value, p.term.version, func(stored []byte) bool {
+		var other orders.Plan
+		return json.Unmarshal(stored, &other) == nil && other.Session == plan.Session && other.Token == plan.Token && other.Writes == plan.Writes
+	})
+	if err != nil {
+		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) {
+			p.term = nil
+		}
+		return merry.Wrap(ErrPlan, merry.WithCause(err))
+	}
+	p.term.plan, p.term.version = plan, object.Version
+	return nil
+}
+
+// plan drops the moves that have ended and decides new ones.
+func (p *Planner) plan(ctx context.Context) error {
+	if err := p.readRecords(ctx); err != nil {
+		return err
+	}
+	t := p.term
+	next := t.plan
+	next.Moves = slices.DeleteFunc(slices.Clone(next.Moves), func(m orders.Move) bool {
+		return t.records[m.Target].record.DoneThrough >= m.Seq
+	})
+	moves := p.decide(next.Moves)
+	for _, m := range moves {
+		next.LastSeq++
+		m.Seq = next.LastSeq
+		next.Moves = append(next.Moves, m)
+	}
+	if len(moves) == 0 && len(next.Moves) == len(t.plan.Moves) {
+		return nil
+	}
+	if err := p.store(ctx, next); err != nil {
+		return err
+	}
+	now := p.cfg.Clock.Now()
+	for _, m := range next.Moves[len(next.Moves)-len(moves):] {
+		t.issued[m.Seq] = now
+		if m.IsLoad() && m.Adapter == "" {
+			t.tokens--
+		}
+		p.metrics.moves.WithLabelValues(string(m.Action), m.Reason).Inc()
+		p.cfg.Log.Infof("Move %d: %s %s on %s, %s.", m.Seq, m.Action, m.Served(), m.Target, m.Reason)
+	}
+	return nil
+}
+
+// readRecords reads the orderers' records; an older version than the one known
+// comes from a stale read and is left out.
+func (p *Planner) readRecords(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	prefix := orders.RecordPrefix(p.cfg.Environment)
+	objects, _, err := p.cfg.Objects.List(ctx, prefix)
+	if err != nil {
+		return merry.Wrap(ErrPlan, merry.WithCause(err))
+	}
+	for _, o := range objects {
+		record, err := orders.DecodeRecord(o.Value)
+		if err != nil {
+			return err
+		}
+		if known, ok := p.term.records[record.Target]; !ok || o.Version > known.version {
+			p.term.records[record.Target] = versioned{record, o.Version}
+		}
+	}
+	return nil
+}
+
+// decide returns new moves, or none while too little is known.
+func (p *Planner) decide(pending []orders.Move) []orders.Move {
+	now := p.cfg.Clock.Now()
+	snapshot := p.cfg.Snapshot()
+	state := State{Now: now, Models: snapshot.View.State.Document.Models, Adapters: snapshot.View.State.Document.Adapters}
+	fresh, all := 0, 0
+	for _, ts := range snapshot.Targets {
+		if ts.Target.Kind != environment.TargetEngine {
+			continue
+		}
+		all++
+		isFresh := p.reports.IsFresh(ts, now)
+		seen := p.term.sighting(ts.Target.Name)
+		if isFresh {
+			fresh++
+			seen.lastFresh = now
+		}
+		record := p.term.records[ts.Target.Name].record
+		state.Targets = append(state.Targets, observeTarget(snapshot.View, ts, &record, pending, isFresh, seen, now))
+	}
+	p.term.observeDemand(&state, p.collected, snapshot, now)
+	if !p.term.mayDecide(fresh, all, now) {
+		return nil
+	}
+	state.Budget = p.term.budget(&snapshot.View.State.Document.WeightStore, pending, state.Targets, now)
+	return p.cfg.Policy.Plan(&state)
+}
+
+func (t *term) sighting(name string) *sighting {
+	s := t.seen[name]
+	if s == nil {
+		s = &sighting{lastFresh: t.startedAt}
+		t.seen[name] = s
+	}
+	return s
+}
+
+// mayDecide reports whether enough targets report.
+func (t *term) mayDecide(fresh, all int, now time.Time) bool {
+	if fresh < all && now.Sub(t.startedAt) < startWait {
+		return false
+	}
+	if 2*fresh >= all {
+		t.halfAt = now
+	}
+	return !now.Before(t.startedAt) && (2*fresh >= all || now.Sub(maxTime(t.halfAt, t.startedAt)) >= minorityWait)
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// budget returns what the weight store allows to begin now. Every load that is
+// not known to have ended counts.
+func (t *term) budget(w *environment.WeightStore, pending []orders.Move, targets []Target, now time.Time) Budget {
+	t.tokens = min(max(1, w.LoadsPerSecond), t.tokens+w.LoadsPerSecond*now.Sub(t.tokensAt).Seconds())
+	t.tokensAt = now
+	fresh := make(map[string]bool, len(targets))
+	for i := range targets {
+		fresh[targets[i].Name] = targets[i].Fresh
+	}
+	models, adapters := 0, 0
+	for i := range pending {
+		m := &pending[i]
+		if !m.IsLoad() || (!fresh[m.Target] && now.Sub(t.issued[m.Seq]) > loadLasts) {
+			continue
+		}
+		if m.Adapter == "" {
+			models++
+		} else {
+			adapters++
+		}
+	}
+	limit := w.AdapterLoadsAtOnce
+	if limit == 0 {
+		limit = unlimited
+	}
+	return Budget{Loads: max(0, min(int(t.tokens), w.LoadsAtOnce-models)), AdapterLoads: max(0, limit-adapters)}
+}
+
+// observeDemand brings the forecasts up to date once a step and fills in the
+// state's demand.
+func (t *term) observeDemand(state *State, collected *collector, snapshot *inventory.Snapshot, now time.Time) {
+	isStep := now.Sub(t.stepAt) >= forecastStep
+	rates := collected.rates(now)
+	if isStep {
+		t.stepAt = now
+		t.calibrate(rates, snapshot, now)
+	}
+	add := func(served string) {
+		series := t.series[served]
+		if series == nil {
+			series = &Series{}
+			t.series[served] = series
+		}
+		if isStep {
+			series.Observe(rates[served])
+		}
+		if rates[served] > 0 {
+			t.used[served] = now
+		}
+		state.Demand = append(state.Demand, Demand{Served: served, Slots: series.Forecast() * t.slots, LongSlots: series.Long() * t.slots})
+	}
+	for i := range state.Models {
+		add(state.Models[i].Name)
+	}
+	for i := range state.Adapters {
+		add(state.Adapters[i].Name)
+	}
+	for i := range state.Targets {
+		for n := range state.Targets[i].Holdings {
+			h := &state.Targets[i].Holdings[n]
+			h.LastUsed = t.used[h.Served()]
+		}
+	}
+}
+
+// calibrate learns how many calls run at once for each token per second.
+func (t *term) calibrate(rates map[string]float64, snapshot *inventory.Snapshot, now time.Time) {
+	tokens, calls := 0.0, 0
+	for _, r := range rates {
+		tokens += r
+	}
+	for _, ts := range snapshot.Targets {
+		if ts.Target.Kind == environment.TargetEngine && ts.IsFresh(now) {
+			calls += ts.Report.Running + ts.Report.Queued
+		}
+	}
+	if tokens > 0 && calls > 0 {
+		t.slots += slotsWeight * (float64(calls)/tokens - t.slots)
+	}
+}
+
+type metrics struct {
+	moves   *prometheus.CounterVec
+	planner prometheus.Gauge
+}
+
+func newMetrics(r prometheus.Registerer) metrics {
+	m := metrics{
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dotterellink_placement_moves_total", Help: "Moves decided, by action and reason.",
+		}, []string{"action", "reason"}),
+		planner: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "dotterellink_planner_lease_held", Help: "1 while the instance plans placement.",
+		}),
+	}
+	r.MustRegister(m.moves, m.planner)
+	return m
+}
