--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -18,6 +18,7 @@
 type board struct {
 	state    *State
 	targets  []Target
+	all      []int
 	loads    []float64
 	demand   map[string]Demand
 	models   map[string]*environment.Model
@@ -52,6 +53,7 @@
 		b.known[orders.Resource{Model: a.Model, Adapter: a.Name}] = true
 	}
 	for t := range b.targets {
+		b.all = append(b.all, t)
 		b.targets[t].Holdings = slices.Clone(b.targets[t].Holdings)
 		for _, h := range b.targets[t].Holdings {
 			b.copies[h.Resource] = append(b.copies[h.Resource], t)
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -12,12 +12,19 @@
 // least loaded of their targets.
 func (b *board) spreadDemand() []float64 {
 	loads := make([]float64, len(b.targets))
-	ks := b.resources()
-	slices.SortStableFunc(ks, func(x, y orders.Resource) int {
-		return cmp.Compare(len(b.serving(x)), len(b.serving(y)))
-	})
-	for _, k := range ks {
-		fill(loads, b.serving(k), b.demand[k.Served()].Slots, b.capacity)
+	type placed struct {
+		slots   float64
+		targets []int
+	}
+	var all []placed
+	for _, k := range b.resources() {
+		if slots := b.demand[k.Served()].Slots; slots > 0 {
+			all = append(all, placed{slots, b.serving(k)})
+		}
+	}
+	slices.SortStableFunc(all, func(x, y placed) int { return cmp.Compare(len(x.targets), len(y.targets)) })
+	for _, p := range all {
+		fill(loads, p.targets, p.slots, b.capacity)
 	}
 	return loads
 }
@@ -26,13 +33,18 @@
 func (b *board) serving(k orders.Resource) []int {
 	var out []int
 	for _, t := range b.copies[k] {
-		if s := b.holding(t, k).State; !b.targets[t].Out && s != Going && s != Lost {
+		if b.isServing(t, k) {
 			out = append(out, t)
 		}
 	}
 	return out
 }
 
+func (b *board) isServing(t int, k orders.Resource) bool {
+	s := b.holding(t, k).State
+	return !b.targets[t].Out && s != Going && s != Lost
+}
+
 func (b *board) capacity(t int) float64 { return max(1, float64(b.targets[t].Concurrency)) }
 
 // fill adds an amount to the targets so that their load by capacity is as even
@@ -77,7 +89,12 @@
 }
 
 func (b *board) ownShare(k orders.Resource) float64 {
-	n := len(b.serving(k))
+	n := 0
+	for _, t := range b.copies[k] {
+		if b.isServing(t, k) {
+			n++
+		}
+	}
 	if n == 0 {
 		return 0
 	}
--- a/internal/placement/reach.go
+++ b/internal/placement/reach.go
@@ -52,10 +52,21 @@
 // bestTarget returns the target for a further copy that needs no room made, or
 // a negative number: in a zone without a copy, little loaded, with much memory.
 func (b *board) bestTarget(k orders.Resource) int {
+	if k.Adapter != "" {
+		return b.bestOf(b.copies[orders.Resource{Model: k.Model}], k)
+	}
+	return b.bestOf(b.all, k)
+}
+
+// bestOf is bestTarget among the targets given.
+func (b *board) bestOf(targets []int, k orders.Resource) int {
 	need := b.need(k)
 	best := -1
-	for t := range b.targets {
-		if !b.canLoad(t, k) || (b.targets[t].FreeMB < need && b.holding(t, k) == nil) {
+	for _, t := range targets {
+		if b.targets[t].FreeMB < need && b.holding(t, k) == nil {
+			continue
+		}
+		if !b.canLoad(t, k) {
 			continue
 		}
 		if best < 0 || b.isBetter(t, best, k) {
@@ -242,6 +253,9 @@
 		}
 	}
 	for _, k := range b.byDemand(b.resources()) {
+		if (k.Adapter == "" && b.budget.Loads == 0) || (k.Adapter != "" && b.budget.AdapterLoads == 0) {
+			continue
+		}
 		copies := b.inService(k, Sure, Coming, Doubtful)
 		if copies == 0 || (copies >= b.minCopies(k) && (len(zones) < 2 || len(b.zonesOf(k)) >= 2)) {
 			continue
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -378,7 +378,11 @@
 			}
 			table.Render()
 			priced := all[len(all)-1]
-			Expect(priced.attainment).To(BeNumerically(">", all[0].attainment))
+			for _, other := range all[:len(all)-1] {
+				Expect(priced.attainment).To(BeNumerically(">=", other.attainment))
+				Expect(priced.worstModel).To(BeNumerically(">=", other.worstModel))
+			}
+			Expect(priced.movesPerHour).To(BeNumerically("<", all[2].movesPerHour))
 		})
 	}
 })
