--- a/internal/orders/property_test.go
+++ b/internal/orders/property_test.go
@@ -40,15 +40,15 @@
 }
 
 func newRun(t *rapid.T) *run {
-	r := &run{T: t, models: []string{"a", "b", "c", "d"}}
+	r := &run{T: t, models: []string{"a", "b", "c", "d", "e"}}
 	r.world = orderstest.New(environment.Document{Zones: []environment.Zone{{Name: "z1"}}})
 	for n := range 3 {
 		cfg := enginestandin.DefaultConfig(fmt.Sprintf("e%d", n))
-		cfg.MemoryMB = 150
+		cfg.MemoryMB = 210
 		cfg.ChecksFencing = rapid.Bool().Draw(t, "fencing")
 		cfg.ReportLagMS = rapid.SampledFrom([]int{0, 500, 2000, 12000}).Draw(t, "lag")
 		cfg.LoadMS = rapid.SampledFrom([]int{500, 6000}).Draw(t, "load")
-		for _, m := range [][]string{{"a", "b"}, {"a", "c"}, {"b", "d"}}[n] {
+		for _, m := range [][]string{{"a", "b", "c"}, {"a", "b", "d"}, {"c", "d", "e"}}[n] {
 			cfg.Residents = append(cfg.Residents, target.Resident{Model: m, MemoryMB: modelMB})
 		}
 		r.world.AddEngine("z1", cfg, shortDelay)
@@ -100,8 +100,8 @@
 func (r *run) play() {
 	r.world.Run(15 * time.Second)
 	for range runSteps {
-		r.act(rapid.IntRange(0, 21).Draw(r.T, "action"))
-		r.world.Run(time.Duration(rapid.IntRange(1, 32).Draw(r.T, "steps")) * orderstest.Step)
+		r.act(rapid.IntRange(0, 29).Draw(r.T, "action"))
+		r.world.Run(time.Duration(rapid.SampledFrom([]int{1, 4, 16, 60}).Draw(r.T, "steps")) * orderstest.Step)
 	}
 }
 
@@ -175,10 +175,14 @@
 	if len(held) > 0 {
 		r.unload(name, rapid.SampledFrom(held).Draw(r.T, "unload"))
 	}
-	for range rapid.IntRange(0, 2).Draw(r.T, "loads") {
-		if len(others) > 0 {
-			r.world.AddMove(load(name, rapid.SampledFrom(others).Draw(r.T, "load")))
-		}
+	if len(others) == 0 {
+		return
+	}
+	first := rapid.SampledFrom(others).Draw(r.T, "load")
+	r.world.AddMove(load(name, first))
+	if rapid.Bool().Draw(r.T, "replace") {
+		r.unload(name, first)
+		r.world.AddMove(load(name, rapid.SampledFrom(r.models).Draw(r.T, "replacement")))
 	}
 }
 
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -27,6 +27,11 @@
 
 const (
 	planInterval = time.Second
+	// fullReadEvery is the time between full reads of the orderers' records; in
+	// between only changed records are read.
+	fullReadEvery = 30 * time.Second
+	// decideEvery is the time between two decisions.
+	decideEvery  = 3 * time.Second
 	storeTimeout = time.Second
 	// planGuard is how long the lease must still stand when a plan is written.
 	planGuard = time.Second
@@ -86,6 +91,9 @@
 	version   platform.Version
 	startedAt time.Time
 	records   map[string]versioned
+	readTo    platform.Version
+	fullAt    time.Time
+	decidedAt time.Time
 	seen      map[string]*sighting
 	issued    map[uint64]time.Time
 	series    map[string]*Series
@@ -254,25 +262,42 @@
 	return nil
 }
 
-// readRecords reads the orderers' records; an older version than the one known
-// comes from a stale read and is left out.
+// readRecords reads the orderers' records that have changed, and now and then
+// all of them. An older version than the one known comes from a stale read and
+// is left out.
 func (p *Planner) readRecords(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	prefix := orders.RecordPrefix(p.cfg.Environment)
-	objects, _, err := p.cfg.Objects.List(ctx, prefix)
+	prefix, now := orders.RecordPrefix(p.cfg.Environment), p.cfg.Clock.Now()
+	t := p.term
+	var objects []platform.Object
+	var version platform.Version
+	var err error
+	isFull := t.fullAt.IsZero() || now.Sub(t.fullAt) >= fullReadEvery
+	if isFull {
+		objects, version, err = p.cfg.Objects.List(ctx, prefix)
+	} else {
+		objects, version, err = p.cfg.Objects.Changes(ctx, prefix, t.readTo, 0)
+	}
 	if err != nil {
 		return merry.Wrap(ErrPlan, merry.WithCause(err))
 	}
 	for _, o := range objects {
+		if o.Deleted {
+			continue
+		}
 		record, err := orders.DecodeRecord(o.Value)
 		if err != nil {
 			return err
 		}
-		if known, ok := p.term.records[record.Target]; !ok || o.Version > known.version {
-			p.term.records[record.Target] = versioned{record, o.Version}
+		if known, ok := t.records[record.Target]; !ok || o.Version > known.version {
+			t.records[record.Target] = versioned{record, o.Version}
 		}
 	}
+	if isFull {
+		t.fullAt = now
+	}
+	t.readTo = max(t.readTo, version)
 	return nil
 }
 
@@ -297,9 +322,10 @@
 		state.Targets = append(state.Targets, observeTarget(snapshot.View, ts, &record, pending, isFresh, seen, now))
 	}
 	p.term.observeDemand(&state, p.collected, snapshot, now)
-	if !p.term.mayDecide(fresh, all, now) {
+	if !p.term.mayDecide(fresh, all, now) || now.Sub(p.term.decidedAt) < decideEvery {
 		return nil
 	}
+	p.term.decidedAt = now
 	state.Budget = p.term.budget(&snapshot.View.State.Document.WeightStore, pending, state.Targets, now)
 	return p.cfg.Policy.Plan(&state)
 }
