--- a/internal/orders/property_test.go
+++ b/internal/orders/property_test.go
@@ -37,6 +37,8 @@
 	// doubled is the delay of the second copy of every order; 0 is none.
 	doubled []int
 	nested  bool
+	// failure is the first breach seen.
+	failure string
 }
 
 func newRun(t *rapid.T) *run {
@@ -68,16 +70,23 @@
 	for _, e := range r.world.Engines {
 		w := e.Witness()
 		if w.Overcommits > 0 || w.PeakMemoryMB > w.MemoryMB {
-			r.Fatalf("%s overcommitted: %d of %d MB; orders %+v", w.Name, w.PeakMemoryMB, w.MemoryMB, w.Orders)
+			r.fail("%s overcommitted: %d of %d MB; orders %+v", w.Name, w.PeakMemoryMB, w.MemoryMB, w.Orders)
 		}
 	}
 	for _, m := range r.models {
 		if !r.isHeld(m) {
-			r.Fatalf("no copy of %s left", m)
+			r.fail("no copy of %s left", m)
 		}
 	}
 }
 
+// fail keeps the first failure; play reports it on the goroutine of the test.
+func (r *run) fail(format string, args ...any) {
+	if r.failure == "" {
+		r.failure = fmt.Sprintf(format, args...)
+	}
+}
+
 func (r *run) isHeld(model string) bool {
 	for _, e := range r.world.Engines {
 		if e.Holds(model, "") {
@@ -102,6 +111,9 @@
 	for range runSteps {
 		r.act(rapid.IntRange(0, 29).Draw(r.T, "action"))
 		r.world.Run(time.Duration(rapid.SampledFrom([]int{1, 4, 16, 60}).Draw(r.T, "steps")) * orderstest.Step)
+		if r.failure != "" {
+			r.Fatal(r.failure)
+		}
 	}
 }
 
