--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -147,7 +147,11 @@
 				dead := orderer(w, 0)
 				dead.Dead = true
 				token := before.Token
-				w.Run(takeoverBound)
+				w.Run(maxDelayMS * time.Millisecond)
+				if !fencing {
+					Expect(engine.Witness().Orders).To(BeEmpty(), "before the lease and the longest delay have passed")
+				}
+				w.Run(takeoverBound - maxDelayMS*time.Millisecond)
 				Expect(orderer(w, 0)).NotTo(BeNil())
 				sent := engine.Witness().Orders
 				Expect(sent).NotTo(BeEmpty())
--- a/internal/orders/property_test.go
+++ b/internal/orders/property_test.go
@@ -36,7 +36,8 @@
 	faults []enginestandin.Faults
 	// doubled is the delay of the second copy of every order; 0 is none.
 	doubled []int
-	nested  bool
+	// pause is the length of the next gap; 0 is none.
+	pause time.Duration
 	// failure is the first breach seen.
 	failure string
 }
@@ -96,19 +97,20 @@
 	return false
 }
 
-// gap stops an instance between its last look at the clock and the sending.
+// gap stops an instance between its last look at the clock and the sending. It
+// runs on the orderer's goroutine, so what it does was drawn before.
 func (r *run) gap(*orderstest.Instance) {
-	if r.nested || rapid.IntRange(0, 5).Draw(r.T, "gap") > 0 {
-		return
-	}
-	r.nested = true
-	defer func() { r.nested = false }()
-	r.world.Run(time.Duration(rapid.IntRange(1, 25).Draw(r.T, "pause")) * time.Second)
+	d := r.pause
+	r.pause = 0
+	r.world.Run(d)
 }
 
 func (r *run) play() {
 	r.world.Run(15 * time.Second)
 	for range runSteps {
+		if rapid.IntRange(0, 5).Draw(r.T, "gap") == 0 {
+			r.pause = time.Duration(rapid.IntRange(1, 25).Draw(r.T, "pause")) * time.Second
+		}
 		r.act(rapid.IntRange(0, 29).Draw(r.T, "action"))
 		r.world.Run(time.Duration(rapid.SampledFrom([]int{1, 4, 16, 60}).Draw(r.T, "steps")) * orderstest.Step)
 		if r.failure != "" {
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -33,12 +33,13 @@
 	network *meshtest.Network
 	// mostLoading is the most model loads that ran at once on all engines.
 	mostLoading int
+	recorders   map[string]*Recorder
 }
 
 // newFleet has an engine in each of three zones and an instance beside each. The
 // models m0, m1, ... are resident on engine n modulo 3, as far as resident says.
 func newFleet(models, adapters, resident int) *fleet {
-	f := &fleet{network: meshtest.NewNetwork()}
+	f := &fleet{network: meshtest.NewNetwork(), recorders: make(map[string]*Recorder)}
 	d := environment.Document{WeightStore: environment.WeightStore{LoadsPerSecond: testRate, LoadsAtOnce: testLoads, AdapterLoadsAtOnce: 2}}
 	for n := range models {
 		d.Models = append(d.Models, environment.Model{Name: fmt.Sprintf("m%d", n), MemoryMB: testModelMB})
@@ -64,9 +65,10 @@
 }
 
 func (f *fleet) startPlanner(i *orderstest.Instance) func(context.Context) {
+	f.recorders[i.Name] = NewRecorder(f.Clock)
 	planner := NewPlanner(Config{
 		Environment: orderstest.Env, Session: i.Session(), Objects: f.Store, Leases: i.Leases, Mesh: f.network.Join(i.Name, i.Zone),
-		Snapshot: i.Inventory.Snapshot, Recorder: NewRecorder(f.Clock), Policy: Priced{}, Clock: f.Clock,
+		Snapshot: i.Inventory.Snapshot, Recorder: f.recorders[i.Name], Policy: Priced{}, Clock: f.Clock,
 		Log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}, Metrics: prometheus.NewRegistry(),
 	})
 	return planner.Tick
@@ -191,6 +193,20 @@
 		f.expectAllHeld()
 	})
 
+	It("gives a model that is asked for at all instances a further copy, in place of one that is not", func() {
+		f := newFleet(7, 0, 7)
+		f.Run(time.Minute)
+		Expect(f.copies("m6", "")).To(Equal(1))
+		for range 12 * 60 {
+			for _, r := range f.recorders {
+				r.Note("m6", 1000)
+			}
+			f.Run(time.Second)
+		}
+		Expect(f.copies("m6", "")).To(BeNumerically(">=", 2))
+		f.expectAllHeld()
+	})
+
 	It("unloads nothing for a model that no engine can hold", func() {
 		f := newFleet(6, 0, 6)
 		f.State.Document.Models = append(f.State.Document.Models, environment.Model{Name: "huge", MemoryMB: 1000})
