--- a/internal/target/httptarget/stream.go
+++ b/internal/target/httptarget/stream.go
@@ -29,6 +29,9 @@
 	cancel context.CancelFunc
 	next   int
 	done   bool
+	// line and data are reused from event to event.
+	line []byte
+	data []byte
 }
 
 func newEventStream(call *target.ModelCall, body io.ReadCloser, cancel context.CancelFunc) *eventStream {
@@ -59,33 +62,61 @@
 
 // chunk checks that data belongs to the call and continues its sequence.
 func (s *eventStream) chunk(index int, data []byte) (target.Chunk, error) {
-	var head envelope
-	if err := json.Unmarshal(data, &head); err != nil {
-		return target.Chunk{}, merry.Wrap(target.ErrTruncated, merry.WithCause(err))
+	if !json.Valid(data) {
+		return target.Chunk{}, merry.Wrap(target.ErrTruncated, merry.AppendMessage("chunk is no JSON"))
 	}
-	if head.ID != s.call.ID {
-		return target.Chunk{}, merry.Wrap(target.ErrMismatch, merry.AppendMessagef("chunk names %q", head.ID))
+	if id := member(data, "id"); !isString(id, s.call.ID) {
+		return target.Chunk{}, merry.Wrap(target.ErrMismatch, merry.AppendMessagef("chunk names %q", id))
+	}
+	if index < 0 && s.call.ResumeFrom > 0 {
+		return target.Chunk{}, merry.Wrap(target.ErrMismatch, merry.AppendMessage("chunk of a resumed stream has no index"))
 	}
 	if index >= 0 && index != s.next {
 		return target.Chunk{}, merry.Wrap(target.ErrTruncated, merry.AppendMessagef("chunk %d instead of %d", index, s.next))
 	}
-	chunk := target.Chunk{Index: s.next, Data: data, Usage: head.Usage, Generated: head.generated()}
+	usage, err := parseUsage(member(data, "usage"))
+	if err != nil {
+		return target.Chunk{}, err
+	}
+	chunk := target.Chunk{Index: s.next, Data: data, Usage: usage, Generated: generatedTokens(member(data, "choices")), More: s.hasNext()}
 	s.next++
 	return chunk, nil
 }
 
+// hasNext reports whether a whole event has already arrived.
+func (s *eventStream) hasNext() bool {
+	arrived, _ := s.reader.Peek(s.reader.Buffered())
+	return bytes.Contains(arrived, eventEnd)
+}
+
+var eventEnd = []byte("\n\n")
+
+// parseUsage returns nil for engines' null in chunks before the last.
+func parseUsage(raw []byte) (*target.Usage, error) {
+	if len(raw) == 0 || raw[0] != '{' {
+		return nil, nil
+	}
+	var usage target.Usage
+	if err := json.Unmarshal(raw, &usage); err != nil {
+		return nil, merry.Wrap(target.ErrTruncated, merry.WithCause(err))
+	}
+	return &usage, nil
+}
+
 // readEvent returns the next event with data. Its index is -1 if the engine
 // gives none.
 func (s *eventStream) readEvent() (int, []byte, error) {
 	index := -1
-	var data []byte
+	found := false
+	data := s.data[:0]
+	defer func() { s.data = data }()
 	for {
 		line, err := s.readLine()
 		if err != nil {
 			return 0, nil, err
 		}
 		if len(line) == 0 {
-			if data != nil {
+			if found {
 				return index, data, nil
 			}
 			continue
@@ -94,6 +125,10 @@
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(field) {
 		case "data":
+			if found {
+				data = append(data, '\n')
+			}
+			found = true
 			data = append(data, value...)
 		case "id":
 			index = parseIndex(value)
@@ -112,19 +147,23 @@
 	return n
 }
 
-// readLine returns one line without its end. The end of the body before a
-// complete line means that the answer is truncated.
+// readLine returns one line without its end, valid until the next one. The end
+// of the body before a complete line means that the answer is truncated.
 func (s *eventStream) readLine() ([]byte, error) {
-	var line []byte
+	part, err := s.reader.ReadSlice('\n')
+	if err == nil {
+		return bytes.TrimRight(part, "\r\n"), nil
+	}
+	s.line = s.line[:0]
 	for {
-		part, err := s.reader.ReadSlice('\n')
-		line = append(line, part...)
+		s.line = append(s.line, part...)
 		if err == nil {
-			return bytes.TrimRight(line, "\r\n"), nil
+			return bytes.TrimRight(s.line, "\r\n"), nil
 		}
-		if !errors.Is(err, bufio.ErrBufferFull) || len(line) > maxEventBytes {
+		if !errors.Is(err, bufio.ErrBufferFull) || len(s.line) > maxEventBytes {
 			return nil, readError(err)
 		}
+		part, err = s.reader.ReadSlice('\n')
 	}
 }
 
@@ -168,6 +207,9 @@
 	if head.ID != w.call.ID {
 		return target.Chunk{}, merry.Wrap(target.ErrMismatch, merry.AppendMessagef("answer names %q", head.ID))
 	}
+	if !head.hasAnswer() {
+		return target.Chunk{}, merry.Wrap(target.ErrTruncated, merry.AppendMessage("answer holds neither choices nor data"))
+	}
 	w.done = true
 	return target.Chunk{Data: data, Usage: head.Usage}, nil
 }
