Check the key again right before a call is sent

Need: a batch request may wait 30 s for a target, so a key that was withdrawn meanwhile could still run a call after the bound. Change: relay.Call has the BeforeSend of relay.ServiceCall, and entry sets both.

--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -113,7 +114,20 @@
 // authenticate returns the account that a request runs for. It is empty on an
 // open route without a paying account.
 func (s *Server) authenticate(c echo.Context) (string, error) {
+	return s.authenticateRequest(c.Request())
+}
+
+// checkAgain returns a check of the key for right before a call is sent, since
+// it may have been withdrawn while the call waited for a target.
+func (s *Server) checkAgain(c echo.Context) func(context.Context) error {
 	r := c.Request()
+	return func(context.Context) error {
+		_, err := s.authenticateRequest(r)
+		return err
+	}
+}
+
+func (s *Server) authenticateRequest(r *http.Request) (string, error) {
 	view := s.views.View()
 	authorization := r.Header.Get(echo.HeaderAuthorization)
 	if authorization == "" {
@@ -310,16 +324,17 @@
 	defer cancel()
 	sink := &responseSink{server: s, context: c, stream: a.request.Stream, usage: a.request.IncludeUsage, started: started}
 	result, err := s.relay.Generate(ctx, &relay.Call{
-		ID:        c.Get(requestIDKey).(string),
-		Account:   a.account,
-		Served:    a.request.Model,
-		Kind:      kind,
-		Body:      a.body,
-		Stream:    a.request.Stream,
-		Class:     a.class,
-		Deadline:  a.deadline,
-		Prefixes:  target.PrefixHashes(a.prompt),
-		MaxTokens: a.limit,
+		BeforeSend: s.checkAgain(c),
+		ID:         c.Get(requestIDKey).(string),
+		Account:    a.account,
+		Served:     a.request.Model,
+		Kind:       kind,
+		Body:       a.body,
+		Stream:     a.request.Stream,
+		Class:      a.class,
+		Deadline:   a.deadline,
+		Prefixes:   target.PrefixHashes(a.prompt),
+		MaxTokens:  a.limit,
 	}, sink)
 	if err != nil {
 		return result, sink.fail(err)
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -68,7 +68,7 @@
 	tracer := telemetry.NoTracing().Tracer
 	registry := prometheus.NewRegistry()
 	server := entry.New(entry.Config{
-		Views: views{view}, Limiter: quota.NewStatic(func() *environment.View { return view }, 1, clock),
+		Views: &views{view}, Limiter: quota.NewStatic(func() *environment.View { return view }, 1, clock),
 		Relay: relay.New(relay.Config{
 			Picker: admission.NewDirect(router), Engines: httptarget.New(), Clock: clock, Tracer: tracer,
 			Log: telemetry.Discard(), Metrics: registry,
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -87,6 +87,7 @@
 		return nil, err
 	}
 	return &relay.ServiceCall{
+		BeforeSend:     s.checkAgain(c),
 		ID:             c.Get(requestIDKey).(string),
 		Account:        account,
 		Service:        service.Name,
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -26,8 +26,8 @@
 // views shows one environment with one account.
 type views struct{ view *environment.View }
 
-func (v views) View() *environment.View { return v.view }
-func (v views) Admit(string) error      { return nil }
+func (v *views) View() *environment.View { return v.view }
+func (v *views) Admit(string) error      { return nil }
 
 // ledger is a limiter that keeps what was reserved and settled.
 type ledger struct {
@@ -99,6 +99,7 @@
 	key     string
 	ledger  *ledger
 	carrier *carrier
+	views   *views
 	entry   *entry.Server
 	server  *httptest.Server
 }
@@ -120,13 +121,13 @@
 	}
 	state := &environment.State{Revision: 1, Document: document, Keys: []environment.Key{record}}
 	clock := clockwork.NewRealClock()
-	w := &world{key: key, ledger: &ledger{}, carrier: &carrier{}}
+	w := &world{key: key, ledger: &ledger{}, carrier: &carrier{}, views: &views{environment.NewView(state, clock.Now())}}
 	w.carrier.generate = func(context.Context, *relay.Call, relay.Sink) (relay.Result, error) { return relay.Result{}, nil }
 	w.carrier.invoke = func(context.Context, *relay.ServiceCall) (*target.ServiceReply, error) {
 		return &target.ServiceReply{Status: http.StatusOK, Header: http.Header{}, Body: []byte("ok")}, nil
 	}
 	w.entry = entry.New(entry.Config{
-		Views: views{environment.NewView(state, clock.Now())}, Limiter: w.ledger, Relay: w.carrier,
+		Views: w.views, Limiter: w.ledger, Relay: w.carrier,
 		Tracer: telemetry.NoTracing().Tracer, Clock: clock, Log: telemetry.Discard(), Metrics: prometheus.NewRegistry(),
 	})
 	w.server = httptest.NewUnstartedServer(nil)
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -54,6 +54,10 @@
 		if err != nil {
 			return pickError(worst, err)
 		}
+		if err := m.beforeSend(ctx); err != nil {
+			slot.Done(routing.Cancelled)
+			return pickError(worst, err)
+		}
 		err = m.attempt(ctx, slot)
 		if err == nil {
 			return nil
@@ -70,6 +74,13 @@
 	}
 }
 
+func (m *modelRun) beforeSend(ctx context.Context) error {
+	if m.call.BeforeSend == nil {
+		return nil
+	}
+	return m.call.BeforeSend(ctx)
+}
+
 func (m *modelRun) request() routing.Request {
 	return routing.Request{
 		Served:   m.call.Served,
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -57,6 +57,16 @@
 		out = &sink{}
 	})
 
+	It("is not sent if its guard fails", func() {
+		call := w.call(10, true)
+		failure := errors.New("key withdrawn")
+		call.BeforeSend = func(context.Context) error { return failure }
+		result, err := w.relay.Generate(ctx, call, out)
+		Expect(err).To(MatchError(failure))
+		Expect(err).To(MatchError(relay.ErrNotRun))
+		Expect(result.Sent).To(BeFalse())
+	})
+
 	It("resumes a cut stream on its own target and gives each token once", func() {
 		w.setFaults(enginestandin.Faults{CutStreams: 2, CutAfter: 3})
 		result, err := w.relay.Generate(ctx, w.call(10, true), out)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,10 @@
 	Prefixes []target.PrefixHash
 	// MaxTokens is the limit of generated tokens that Body states.
 	MaxTokens int64
+	// BeforeSend is called with a target at hand, before anything is sent to it.
+	// Its error ends the call, which was then not sent to that target. It may be
+	// nil.
+	BeforeSend func(ctx context.Context) error
 }
 
 // Sink takes the chunks of an answer in order. A chunk is valid until Chunk
