--- a/internal/environment/environment_test.go
+++ b/internal/environment/environment_test.go
@@ -77,6 +77,18 @@
 		w.run(2 * withdrawalBound)
 	})
 
+	It("stays fresh when the confirmer of the only zone dies", func() {
+		w = newWorld(1, []int{2}, 0)
+		Expect(w.instances[0].syncer.IsConfirmer()).To(BeTrue())
+		Expect(w.instances[1].syncer.IsConfirmer()).To(BeFalse())
+		w.inject(fault{Kind: "pause", Instance: 0, For: time.Minute})
+		for range 2 * withdrawalBound / simStep {
+			w.run(simStep)
+			Expect(w.instances[1].syncer.Verdict()).To(Equal(VerdictFresh))
+		}
+		Expect(w.instances[1].syncer.IsConfirmer()).To(BeTrue())
+	})
+
 	It("counts the age of a late answer from when it was asked for", func() {
 		i := w.instances[0]
 		w.inject(fault{Kind: "outage", For: time.Minute})
