Routing: make slots from outside and tell when one is freed

A fair queue around Pick needs its own release step and a wake-up. NewSlot takes the release as a function; OnFreed calls back after a slot is freed, without locks held. No behavior of Pick changes.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -63,11 +63,16 @@
 // Slot is a place for one call on a target. Done is called exactly once.
 type Slot struct {
 	Target *environment.Target
-	router *Router
+	done   func(Outcome)
+}
+
+// NewSlot returns a slot that hands the outcome of its call to done.
+func NewSlot(t *environment.Target, done func(Outcome)) *Slot {
+	return &Slot{Target: t, done: done}
 }
 
 // Done frees the slot.
-func (s *Slot) Done(outcome Outcome) { s.router.done(s, outcome) }
+func (s *Slot) Done(outcome Outcome) { s.done(outcome) }
 
 // Router keeps the calls in flight of this instance. It is safe for concurrent
 // use.
@@ -78,6 +83,7 @@
 
 	mu       sync.Mutex
 	inFlight map[string]int
+	freed    []func()
 }
 
 // New returns a router for an instance in zone.
@@ -99,7 +105,15 @@
 		return nil, err
 	}
 	r.inFlight[best.Target.Name]++
-	return &Slot{Target: best.Target, router: r}, nil
+	return NewSlot(best.Target, func(Outcome) { r.done(best.Target) }), nil
+}
+
+// OnFreed adds a function that is called after a slot is freed or capacity
+// rises. It is called without locks held and must not block.
+func (r *Router) OnFreed(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.freed = append(r.freed, f)
 }
 
 // best requires r.mu.
@@ -163,11 +177,15 @@
 	return score
 }
 
-func (r *Router) done(s *Slot, _ Outcome) {
+func (r *Router) done(t *environment.Target) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inFlight[s.Target.Name]--
-	if r.inFlight[s.Target.Name] == 0 {
-		delete(r.inFlight, s.Target.Name)
+	r.inFlight[t.Name]--
+	if r.inFlight[t.Name] == 0 {
+		delete(r.inFlight, t.Name)
+	}
+	freed := r.freed
+	r.mu.Unlock()
+	for _, f := range freed {
+		f()
 	}
 }
