--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -1,10 +1,9 @@
-// Package inventory knows what targets report of themselves: models and
-// adapters in memory, load and cold start. Decisions elsewhere read its
-// immutable snapshots.
 package inventory
 
 import (
 	"context"
+	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,171 +12,302 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/dotterellink/dotterellink/internal/environment"
+	"github.com/dotterellink/dotterellink/internal/membership"
+	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/target"
 )
 
 const (
 	pollInterval = 250 * time.Millisecond
-	pollTimeout  = time.Second
-	// StaleAfter is the age above which a report says nothing of a target.
-	StaleAfter = 3 * time.Second
+	// probeInterval is the time between probes of a plain service.
+	probeInterval = time.Second
+	pollTimeout   = time.Second
+	pullTimeout   = 500 * time.Millisecond
 )
 
-// TargetState is one target with its newest report.
-type TargetState struct {
-	Target *environment.Target
-	Report target.Report
-	// ReceivedAt is the monotonic time at which the report was asked for; zero
-	// without any report.
-	ReceivedAt time.Time
+// Prober tells whether a target accepts connections.
+type Prober interface {
+	Probe(ctx context.Context, address string) error
 }
 
-// IsFresh reports whether the report still counts.
-func (s *TargetState) IsFresh(now time.Time) bool {
-	return !s.ReceivedAt.IsZero() && now.Sub(s.ReceivedAt) < StaleAfter
-}
-
-// Serves reports whether the model or adapter with the name is ready.
-func (s *TargetState) Serves(name string) bool {
-	for i := range s.Report.Residents {
-		r := &s.Report.Residents[i]
-		if r.State == target.ResidencyReady && servedName(r) == name {
-			return true
-		}
-	}
-	return false
-}
+// TCPProber opens and closes a connection.
+type TCPProber struct{}
 
-func servedName(r *target.Resident) string {
-	if r.Adapter != "" {
-		return r.Adapter
+// Probe implements Prober.
+func (TCPProber) Probe(ctx context.Context, address string) error {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
 	}
-	return r.Model
+	return conn.Close()
 }
 
-// Snapshot is an immutable view of all targets of the document in force.
-type Snapshot struct {
-	View    *environment.View
-	Targets []*TargetState
-	byName  map[string]*TargetState
-	// serving lists the engines on which a model or adapter is ready.
-	serving map[string][]*TargetState
-	// services lists the targets of each plain service.
-	services map[string][]*TargetState
+// TargetEvents are new cache events of one target.
+type TargetEvents struct {
+	Target string
+	Events []target.CacheEvent
 }
 
-// Target returns the state of the target or nil.
-func (s *Snapshot) Target(name string) *TargetState { return s.byName[name] }
-
-// Serving returns the engines that report the model or adapter as ready.
-func (s *Snapshot) Serving(name string) []*TargetState { return s.serving[name] }
-
-// ServiceTargets returns the targets of a plain service.
-func (s *Snapshot) ServiceTargets(service string) []*TargetState { return s.services[service] }
-
-// NewSnapshot indexes the states of targets.
-func NewSnapshot(view *environment.View, states []*TargetState) *Snapshot {
-	s := &Snapshot{
-		View:     view,
-		Targets:  states,
-		byName:   make(map[string]*TargetState, len(states)),
-		serving:  make(map[string][]*TargetState),
-		services: make(map[string][]*TargetState),
-	}
-	for _, state := range states {
-		s.byName[state.Target.Name] = state
-		if state.Target.Kind == environment.TargetService {
-			s.services[state.Target.Service] = append(s.services[state.Target.Service], state)
-		}
-		for i := range state.Report.Residents {
-			r := &state.Report.Residents[i]
-			if r.State == target.ResidencyReady {
-				s.serving[servedName(r)] = append(s.serving[servedName(r)], state)
-			}
-		}
-	}
-	return s
-}
-
-// Inventory polls the reports of engines. It is safe for concurrent use.
+// Inventory polls the targets that fall to this instance and learns of the
+// others from their pollers. It is safe for concurrent use.
+//
+// Invariant: the time from which a report counts is never later than the time
+// at which its poller asked the target for it.
 type Inventory struct {
 	views    func() *environment.View
 	reporter target.Reporter
+	prober   Prober
 	clock    clockwork.Clock
 	log      *log.Logger
+	// mesh and members are nil for an instance that stands alone.
+	mesh    mesh.Mesh
+	members func() []membership.Member
+	epoch   uint64
+	metrics *Metrics
 
 	mu      sync.Mutex
-	reports map[string]dated
+	version uint64
+	records map[string]*record
+	// own are the targets that this instance polled last.
+	own      map[string]bool
+	nextPoll map[string]time.Time
+	peers    map[string]peerState
+	onEvents []func([]TargetEvents)
+	onChange []func()
 
-	snapshot atomic.Pointer[Snapshot]
+	// publishing orders the snapshots. It is taken before mu.
+	publishing sync.Mutex
+	snapshot   atomic.Pointer[Snapshot]
 }
 
-type dated struct {
-	report target.Report
-	at     time.Time
-}
-
-// New returns an inventory without reports. The function views returns the view
-// in force.
+// New returns an inventory without reports that polls every target. The function
+// views returns the view in force.
 func New(views func() *environment.View, reporter target.Reporter, clock clockwork.Clock, logger *log.Logger) *Inventory {
-	i := &Inventory{views: views, reporter: reporter, clock: clock, log: logger, reports: make(map[string]dated)}
-	i.publish()
+	i := &Inventory{
+		views:    views,
+		reporter: reporter,
+		prober:   TCPProber{},
+		clock:    clock,
+		log:      logger,
+		epoch:    rand.Uint64(),
+		records:  make(map[string]*record),
+		own:      make(map[string]bool),
+		nextPoll: make(map[string]time.Time),
+		peers:    make(map[string]peerState),
+	}
+	i.Publish()
 	return i
 }
 
+// Share divides the polling among members and exchanges reports over m. It is
+// called before Run.
+func (i *Inventory) Share(m mesh.Mesh, members func() []membership.Member) {
+	i.mesh, i.members = m, members
+	mesh.Handle(m, methodPull, i.onPull)
+}
+
+// UseProber replaces the probes of plain services. It is called before Run.
+func (i *Inventory) UseProber(p Prober) { i.prober = p }
+
+// OnEvents adds a function that takes new cache events. It is called without
+// locks held.
+func (i *Inventory) OnEvents(f func([]TargetEvents)) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.onEvents = append(i.onEvents, f)
+}
+
+// OnChange adds a function that is called, without locks held, after each new
+// snapshot.
+func (i *Inventory) OnChange(f func()) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.onChange = append(i.onChange, f)
+}
+
 // Snapshot returns the newest snapshot.
 func (i *Inventory) Snapshot() *Snapshot { return i.snapshot.Load() }
 
 // Run polls until ctx ends.
 func (i *Inventory) Run(ctx context.Context) error {
-	ticker := i.clock.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		i.Poll(ctx)
+		wait := pollInterval + time.Duration(rand.Int64N(int64(pollInterval/10)))
 		select {
-		case <-ticker.Chan():
+		case <-i.clock.After(wait):
 		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
+	return ctx.Err()
 }
 
-// Poll asks every engine for its report and publishes a snapshot.
+// Poll asks the engines and pollers whose turn it is and publishes a snapshot.
 func (i *Inventory) Poll(ctx context.Context) {
+	own, pollers := i.assign()
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	var wait sync.WaitGroup
+	for _, t := range own {
+		wait.Go(func() { i.pollTarget(ctx, t) })
+	}
+	for _, peer := range pollers {
+		wait.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+			defer cancel()
+			i.pullFrom(ctx, peer)
+		})
+	}
+	wait.Wait()
+	i.Publish()
+}
+
+// assign returns the targets to poll now and the peers that poll the others.
+func (i *Inventory) assign() ([]environment.Target, []string) {
+	self := ""
+	var members []membership.Member
+	if i.mesh != nil {
+		self, members = i.mesh.Self().Name, i.members()
+	}
+	now := i.clock.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	clear(i.own)
+	others := make(map[string]bool)
+	var due []environment.Target
 	for _, t := range i.views().State.Document.Targets {
-		if t.Kind != environment.TargetEngine {
+		if poller := pollerOf(&t, members); poller != self {
+			others[poller] = true
 			continue
 		}
-		wait.Go(func() { i.pollTarget(ctx, t) })
+		i.own[t.Name] = true
+		if now.Before(i.nextPoll[t.Name]) {
+			continue
+		}
+		i.nextPoll[t.Name] = now.Add(interval(&t))
+		due = append(due, t)
 	}
-	wait.Wait()
-	i.publish()
+	pollers := make([]string, 0, len(others))
+	for name := range others {
+		pollers = append(pollers, name)
+	}
+	return due, pollers
+}
+
+// interval is the time to the next poll, less than a tick short of the nominal
+// one for engines, so that they are polled with every tick.
+func interval(t *environment.Target) time.Duration {
+	if t.Kind == environment.TargetEngine {
+		return pollInterval / 2
+	}
+	return probeInterval - pollInterval/2 + time.Duration(rand.Int64N(int64(pollInterval)))
 }
 
 func (i *Inventory) pollTarget(ctx context.Context, t environment.Target) {
+	if t.Kind == environment.TargetService {
+		i.note(t.Name, i.prober.Probe(ctx, t.Address))
+		return
+	}
 	asked := i.clock.Now()
 	report, err := i.reporter.Report(ctx, t.Address)
 	if err != nil {
 		i.log.Debugf("No report from %s: %v.", t.Name, err)
+		i.note(t.Name, err)
 		return
 	}
+	after := i.adoptReport(t.Name, report, asked)
+	events, err := i.reporter.CacheEvents(ctx, t.Address, after)
+	if err != nil {
+		i.log.Debugf("No cache events from %s: %v.", t.Name, err)
+		return
+	}
+	i.adoptEvents(t.Name, events)
+}
+
+// note counts failed polls and probes.
+func (i *Inventory) note(name string, err error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.reports[t.Name] = dated{report: report, at: asked}
+	r := i.record(name)
+	i.version++
+	r.version = i.version
+	if err == nil {
+		r.failures = 0
+		return
+	}
+	r.failures++
 }
 
-func (i *Inventory) publish() {
-	view := i.views()
+// record requires i.mu.
+func (i *Inventory) record(name string) *record {
+	r := i.records[name]
+	if r == nil {
+		r = &record{}
+		i.records[name] = r
+	}
+	return r
+}
+
+// adoptReport returns the sequence of the last cache event known.
+func (i *Inventory) adoptReport(name string, report target.Report, asked time.Time) uint64 {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	r := i.record(name)
+	before := r.report
+	i.version++
+	r.version = i.version
+	if r.take(report, asked) && (r.bodyVersion == 0 || !sameBody(&before, &report)) {
+		r.bodyVersion = i.version
+	}
+	return r.lastEvent
+}
+
+func (i *Inventory) adoptEvents(name string, events []target.CacheEvent) {
+	i.mu.Lock()
+	r := i.record(name)
+	i.version++
+	r.version = i.version
+	fresh := r.keepEvents(events, i.version)
+	i.mu.Unlock()
+	if len(fresh) > 0 {
+		i.tell([]TargetEvents{{Target: name, Events: fresh}})
+	}
+}
+
+func (i *Inventory) tell(events []TargetEvents) {
+	if len(events) == 0 {
+		return
+	}
+	i.mu.Lock()
+	listeners := i.onEvents
+	i.mu.Unlock()
+	for _, f := range listeners {
+		f(events)
+	}
+}
+
+// Publish makes a snapshot of the view in force and the reports known.
+func (i *Inventory) Publish() {
+	i.publishing.Lock()
+	view := i.views()
+	i.mu.Lock()
 	states := make([]*TargetState, 0, len(view.State.Document.Targets))
 	for n := range view.State.Document.Targets {
 		t := &view.State.Document.Targets[n]
-		d := i.reports[t.Name]
-		states = append(states, &TargetState{Target: t, Report: d.report, ReceivedAt: d.at})
+		state := &TargetState{Target: t}
+		if r := i.records[t.Name]; r != nil {
+			state.Report, state.ReceivedAt = r.report, r.at
+			state.Unreachable = r.failures >= unreachableAfter
+		}
+		states = append(states, state)
+	}
+	listeners := i.onChange
+	i.mu.Unlock()
+	snapshot := NewSnapshot(view, states)
+	i.snapshot.Store(snapshot)
+	i.publishing.Unlock()
+	i.metrics.measure(snapshot, i.clock.Now())
+	for _, f := range listeners {
+		f()
 	}
-	i.snapshot.Store(NewSnapshot(view, states))
 }
