Routing: constant-cost choice over a few candidates, gated cold targets

Pick looked at every target of a model and bounded cold ones per instance. It now weighs a few candidates: those that cache events name for the prompt's longest prefix, and some drawn from the own and from other zones. Cold targets need a permit of coldstart. Free places of warm targets are divided among the instances until the next report. A breaker ejects at most a third of a model's targets.

Seen failing first: on the earlier router the specs on spilling, shared free places, prefixes, ejection and cold permits had no mechanism to pass by.

--- /dev/null
+++ b/internal/routing/router_test.go
@@ -0,0 +1,313 @@
+package routing_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dotterellink/dotterellink/internal/environment"
+	"github.com/dotterellink/dotterellink/internal/inventory"
+	"github.com/dotterellink/dotterellink/internal/routing"
+	"github.com/dotterellink/dotterellink/internal/target"
+)
+
+// board is a set of warm engines that all serve "reader", three zones in turn.
+type board struct {
+	clock    *clockwork.FakeClock
+	state    environment.State
+	states   []*inventory.TargetState
+	snapshot *inventory.Snapshot
+}
+
+func newBoard(engines int) *board {
+	b := &board{clock: clockwork.NewFakeClock()}
+	for i := range engines {
+		b.state.Document.Targets = append(b.state.Document.Targets, environment.Target{
+			Name: fmt.Sprintf("e%d", i), Kind: environment.TargetEngine, Zone: string(rune('a' + i%3)), Concurrency: 32, ColdConcurrency: 2,
+		})
+	}
+	for i := range engines {
+		b.states = append(b.states, &inventory.TargetState{
+			Target:     &b.state.Document.Targets[i],
+			ReceivedAt: b.clock.Now(),
+			Report:     target.Report{Incarnation: "1", Residents: []target.Resident{{Model: "reader", State: target.ResidencyReady}}},
+		})
+	}
+	b.publish()
+	return b
+}
+
+// publish puts the present states into a new snapshot.
+func (b *board) publish() {
+	b.state.Revision++
+	state := b.state
+	states := make([]*inventory.TargetState, len(b.states))
+	for i, s := range b.states {
+		copied := *s
+		states[i] = &copied
+	}
+	b.snapshot = inventory.NewSnapshot(environment.NewView(&state, b.clock.Now()), states)
+}
+
+func (b *board) router(options ...routing.Option) *routing.Router {
+	random := rand.New(rand.NewPCG(1, 1))
+	options = append(options, routing.WithRandom(random.IntN))
+	return routing.New("a", func() *inventory.Snapshot { return b.snapshot }, b.clock, options...)
+}
+
+// fakeGate has the permits that the test sets; targets not listed are warm.
+type fakeGate struct {
+	permits  map[string]int
+	wished   map[string]int
+	suspects []string
+}
+
+func (g *fakeGate) IsWarm(t *environment.Target) bool { _, cold := g.permits[t.Name]; return !cold }
+func (g *fakeGate) CanAcquire(t *environment.Target) bool {
+	return g.IsWarm(t) || g.permits[t.Name] > 0
+}
+func (g *fakeGate) Release(*environment.Target, bool) {}
+func (g *fakeGate) Suspect(t *environment.Target)     { g.suspects = append(g.suspects, t.Name) }
+func (g *fakeGate) Acquire(t *environment.Target) bool {
+	g.wished[t.Name]++
+	ok := g.CanAcquire(t)
+	if !g.IsWarm(t) && ok {
+		g.permits[t.Name]--
+	}
+	return ok
+}
+
+// ejected reads the gauge of ejected targets.
+func ejected(r *routing.Router) float64 {
+	GinkgoHelper()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(r.Collector())
+	families, err := registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, f := range families {
+		if f.GetName() == "dotterellink_routing_ejected_targets" {
+			return f.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	Fail("no gauge of ejected targets")
+	return 0
+}
+
+var reader = routing.Request{Served: "reader"}
+
+func pick(r *routing.Router, request routing.Request) *routing.Slot {
+	GinkgoHelper()
+	slot, err := r.Pick(request)
+	Expect(err).NotTo(HaveOccurred())
+	return slot
+}
+
+var _ = Describe("Router", func() {
+	It("keeps to the own zone while it has room and spills after", func() {
+		b := newBoard(6)
+		r := b.router()
+		for range 20 {
+			Expect(pick(r, reader).Target.Zone).To(Equal("a"))
+		}
+		far := 0
+		for range 150 {
+			if slot, err := r.Pick(reader); err == nil && slot.Target.Zone != "a" {
+				far++
+			}
+		}
+		Expect(far).To(BeNumerically(">", 60))
+	})
+
+	It("never fills a target over its concurrency and tells full from unknown", func() {
+		b := newBoard(3)
+		r := b.router()
+		for range 3 * 32 {
+			pick(r, reader)
+		}
+		_, err := r.Pick(reader)
+		Expect(errors.Is(err, routing.ErrNoCapacity)).To(BeTrue())
+		_, err = r.Pick(routing.Request{Served: "unknown"})
+		Expect(errors.Is(err, routing.ErrNoTarget)).To(BeTrue())
+	})
+
+	It("starts only its part of the free places between two reports", func() {
+		b := newBoard(1)
+		total := 0
+		for range 7 {
+			r := b.router(routing.WithSharers(func(string) int { return 7 }))
+			for {
+				if _, err := r.Pick(reader); err != nil {
+					break
+				}
+				total++
+			}
+		}
+		Expect(total).To(BeNumerically("<=", 32+7))
+	})
+
+	It("gives no work to leaving targets, zones out and targets gone from the view", func() {
+		b := newBoard(3)
+		r := b.router()
+		b.state.TargetsLeaving = []string{"e0"}
+		b.state.ZonesOut = []string{"b"}
+		b.publish()
+		for range 10 {
+			Expect(pick(r, reader).Target.Name).To(Equal("e2"))
+		}
+		b.states = b.states[:2]
+		b.publish()
+		_, err := r.Pick(reader)
+		Expect(errors.Is(err, routing.ErrNoTarget)).To(BeTrue())
+	})
+
+	It("follows cache events to the target with the longest prefix", func() {
+		b := newBoard(12)
+		r := b.router()
+		prompt := make([]byte, 20*target.PrefixBlockBytes)
+		hashes := target.PrefixHashes(prompt)
+		events := inventory.TargetEvents{Target: "e6"}
+		for _, h := range hashes[:10] {
+			events.Events = append(events.Events, target.CacheEvent{Model: "reader", Prefix: h.String()})
+		}
+		r.TakeEvents([]inventory.TargetEvents{events})
+		request := routing.Request{Served: "reader", Prefixes: hashes}
+		for range 5 {
+			Expect(pick(r, request).Target.Name).To(Equal("e6"))
+		}
+		events.Events[0].Evicted = true
+		for i := range events.Events {
+			events.Events[i].Evicted = true
+		}
+		r.TakeEvents([]inventory.TargetEvents{events})
+		names := make(map[string]bool)
+		for range 20 {
+			names[pick(r, request).Target.Name] = true
+		}
+		Expect(len(names)).To(BeNumerically(">", 1))
+	})
+
+	It("ejects a failing target, probes it once and takes it back", func() {
+		b := newBoard(3)
+		r := b.router()
+		fail := func() {
+			slot := pick(r, routing.Request{Served: "reader", Exclude: []string{"e1", "e2"}})
+			Expect(slot.Target.Name).To(Equal("e0"))
+			slot.Done(routing.Failed)
+		}
+		for range 3 {
+			fail()
+		}
+		for range 20 {
+			slot := pick(r, reader)
+			Expect(slot.Target.Name).NotTo(Equal("e0"))
+			slot.Done(routing.Completed)
+		}
+		b.clock.Advance(2 * time.Second)
+		b.publish()
+		probe := pick(r, routing.Request{Served: "reader", Exclude: []string{"e1", "e2"}})
+		for range 20 {
+			Expect(pick(r, reader).Target.Name).NotTo(Equal("e0"))
+		}
+		probe.Done(routing.Completed)
+		Expect(pick(r, reader).Target.Name).To(Equal("e0"))
+	})
+
+	It("ejects at most a third of a model's targets and never the last", func() {
+		b := newBoard(9)
+		r := b.router()
+		for range 400 {
+			slot := pick(r, reader)
+			slot.Done(routing.Failed)
+		}
+		Expect(ejected(r)).To(BeNumerically("==", 3))
+		one := newBoard(1)
+		alone := one.router()
+		for range 20 {
+			pick(alone, reader).Done(routing.Failed)
+		}
+		Expect(ejected(alone)).To(BeZero())
+	})
+
+	It("starts nothing on a cold target without a permit and asks for one", func() {
+		b := newBoard(1)
+		g := &fakeGate{permits: map[string]int{"e0": 0}, wished: make(map[string]int)}
+		r := b.router(routing.WithGate(g))
+		_, err := r.Pick(reader)
+		Expect(errors.Is(err, routing.ErrNoCapacity)).To(BeTrue())
+		Expect(g.wished["e0"]).To(Equal(1))
+		g.permits["e0"] = 1
+		pick(r, reader)
+		_, err = r.Pick(reader)
+		Expect(errors.Is(err, routing.ErrNoCapacity)).To(BeTrue())
+	})
+
+	It("suspects a target that rejects or slows several calls in a row", func() {
+		b := newBoard(1)
+		g := &fakeGate{permits: map[string]int{}, wished: make(map[string]int)}
+		r := b.router(routing.WithGate(g))
+		for range 3 {
+			pick(r, reader).Done(routing.Rejected)
+		}
+		Expect(g.suspects).To(Equal([]string{"e0"}))
+		respond := func(after time.Duration) {
+			slot := pick(r, reader)
+			b.clock.Advance(after)
+			slot.FirstToken()
+			slot.Done(routing.Completed)
+		}
+		for range 20 {
+			respond(50 * time.Millisecond)
+		}
+		Expect(g.suspects).To(HaveLen(1))
+		for range 3 {
+			respond(900 * time.Millisecond)
+		}
+		Expect(g.suspects).To(HaveLen(2))
+	})
+
+	It("tells when a slot is freed, without locks held", func() {
+		b := newBoard(1)
+		r := b.router()
+		freed := 0
+		r.OnFreed(func() { freed++; _, _ = r.Pick(reader) })
+		pick(r, reader).Done(routing.Completed)
+		Expect(freed).To(Equal(1))
+	})
+
+	It("keeps places free for interactive calls", func() {
+		b := newBoard(1)
+		r := b.router()
+		batch := routing.Request{Served: "reader", Class: routing.ClassBatch}
+		for range 28 {
+			pick(r, batch)
+		}
+		_, err := r.Pick(batch)
+		Expect(errors.Is(err, routing.ErrNoCapacity)).To(BeTrue())
+		Expect(pick(r, reader)).NotTo(BeNil())
+	})
+})
+
+func BenchmarkPick(b *testing.B) {
+	for _, engines := range []int{12, 260, 2600} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			board := newBoard(engines)
+			r := board.router(routing.WithGate(&fakeGate{permits: map[string]int{}, wished: make(map[string]int)}))
+			request := routing.Request{Served: "reader", Prefixes: target.PrefixHashes(make([]byte, 16*target.PrefixBlockBytes))}
+			b.ReportAllocs()
+			for b.Loop() {
+				slot, err := r.Pick(request)
+				if err != nil {
+					b.Fatal(err)
+				}
+				slot.Done(routing.Completed)
+			}
+		})
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -3,14 +3,11 @@
 package routing
 
 import (
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/jonboulle/clockwork"
 
 	"github.com/dotterellink/dotterellink/internal/environment"
-	"github.com/dotterellink/dotterellink/internal/inventory"
 	"github.com/dotterellink/dotterellink/internal/target"
 )
 
@@ -63,7 +60,12 @@
 // Slot is a place for one call on a target. Done is called exactly once.
 type Slot struct {
 	Target *environment.Target
-	done   func(Outcome)
+
+	done       func(Outcome)
+	router     *Router
+	load       *load
+	startedAt  time.Time
+	firstToken bool
 }
 
 // NewSlot returns a slot that hands the outcome of its call to done.
@@ -72,120 +74,34 @@
 }
 
 // Done frees the slot.
-func (s *Slot) Done(outcome Outcome) { s.done(outcome) }
-
-// Router keeps the calls in flight of this instance. It is safe for concurrent
-// use.
-type Router struct {
-	zone     string
-	snapshot func() *inventory.Snapshot
-	clock    clockwork.Clock
-
-	mu       sync.Mutex
-	inFlight map[string]int
-	freed    []func()
-}
-
-// New returns a router for an instance in zone.
-func New(zone string, snapshot func() *inventory.Snapshot, clock clockwork.Clock) *Router {
-	return &Router{zone: zone, snapshot: snapshot, clock: clock, inFlight: make(map[string]int)}
-}
-
-// Pick reserves a slot for the request on the best target.
-func (r *Router) Pick(request Request) (*Slot, error) {
-	snapshot := r.snapshot()
-	candidates := snapshot.Serving(request.Served)
-	if request.Service != "" {
-		candidates = snapshot.ServiceTargets(request.Service)
+func (s *Slot) Done(outcome Outcome) {
+	if s.done != nil {
+		s.done(outcome)
+		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	best, err := r.best(snapshot, candidates, request)
-	if err != nil {
-		return nil, err
-	}
-	r.inFlight[best.Target.Name]++
-	return NewSlot(best.Target, func(Outcome) { r.done(best.Target) }), nil
-}
-
-// OnFreed adds a function that is called after a slot is freed or capacity
-// rises. It is called without locks held and must not block.
-func (r *Router) OnFreed(f func()) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.freed = append(r.freed, f)
+	s.router.finish(s, outcome)
 }
 
-// best requires r.mu.
-func (r *Router) best(snapshot *inventory.Snapshot, candidates []*inventory.TargetState, request Request) (*inventory.TargetState, error) {
-	var best *inventory.TargetState
-	var bestScore float64
-	full := false
-	for _, c := range candidates {
-		if !r.isEligible(snapshot, c, request) {
-			continue
-		}
-		if r.inFlight[c.Target.Name] >= limit(c) {
-			full = true
-			continue
-		}
-		if score := r.score(c); best == nil || score < bestScore {
-			best, bestScore = c, score
-		}
+// FirstToken tells that the first token of the answer came. Later calls have no
+// effect.
+func (s *Slot) FirstToken() {
+	if s.router == nil || s.firstToken {
+		return
 	}
-	switch {
-	case best != nil:
-		return best, nil
-	case full:
-		return nil, merry.Wrap(ErrNoCapacity)
-	}
-	return nil, merry.Wrap(ErrNoTarget)
+	s.firstToken = true
+	s.router.noteFirstToken(s)
 }
 
-func (r *Router) isEligible(snapshot *inventory.Snapshot, c *inventory.TargetState, request Request) bool {
-	if snapshot.View.IsTargetOut(c.Target) {
-		return false
-	}
-	if c.Target.Kind == environment.TargetEngine && !c.IsFresh(r.clock.Now()) {
-		return false
-	}
-	for _, name := range request.Exclude {
-		if name == c.Target.Name {
-			return false
-		}
-	}
-	return true
-}
-
-func limit(c *inventory.TargetState) int {
-	if c.Report.Cold {
-		return c.Target.ColdConcurrency
-	}
-	return c.Target.Concurrency
-}
-
-// otherZonePenalty is added to the score of targets in other zones.
-const otherZonePenalty = 0.25
-
-// score is lower for better targets: the share of slots in use.
-func (r *Router) score(c *inventory.TargetState) float64 {
-	load := max(r.inFlight[c.Target.Name], c.Report.Running+c.Report.Queued)
-	score := float64(load) / float64(limit(c))
-	if c.Target.Zone != r.zone {
-		score += otherZonePenalty
-	}
-	return score
-}
-
-func (r *Router) done(t *environment.Target) {
-	r.mu.Lock()
-	r.inFlight[t.Name]--
-	if r.inFlight[t.Name] == 0 {
-		delete(r.inFlight, t.Name)
-	}
-	freed := r.freed
-	r.mu.Unlock()
-	for _, f := range freed {
-		f()
-	}
+// Gate bounds the calls on engines over all instances together.
+type Gate interface {
+	// IsWarm reports whether the engine bears its full concurrency.
+	IsWarm(t *environment.Target) bool
+	// CanAcquire reports whether a call may start.
+	CanAcquire(t *environment.Target) bool
+	// Acquire counts a call that starts, or returns false.
+	Acquire(t *environment.Target) bool
+	// Release ends a call that was counted.
+	Release(t *environment.Target, completed bool)
+	// Suspect tells that the engine slows or fails like a cold one.
+	Suspect(t *environment.Target)
 }
