--- a/internal/coldstart/world_test.go
+++ b/internal/coldstart/world_test.go
@@ -108,6 +108,9 @@
 }
 
 func (w *world) note() {
+	for len(w.engine.history) > 1 && w.engine.history[1].at.Before(w.clock.Now().Add(-w.lag)) {
+		w.engine.history = w.engine.history[1:]
+	}
 	w.engine.history = append(w.engine.history, moment{w.clock.Now(), len(w.engine.calls), w.engine.cold, w.engine.incarnation})
 }
 
--- a/internal/inventory/exchange.go
+++ b/internal/inventory/exchange.go
@@ -137,6 +137,8 @@
 		report := r.report
 		if s.Body != nil {
 			report = *s.Body
+			// The body was not told by this instance, if it polls the target later.
+			r.bodyVersion = 0
 		}
 		hasBody := s.Body != nil || report.Incarnation == s.Incarnation
 		if hasBody && at.After(r.at) {
