Inventory sends residents only when they change; first tokens reach the router

The relay tells the slot of the first token of streams, by which a target that slows like a cold one is found.

--- a/internal/coldstart/fleet_test.go
+++ b/internal/coldstart/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -19,6 +20,7 @@
 	"github.com/dotterellink/dotterellink/internal/environment"
 	"github.com/dotterellink/dotterellink/internal/inventory"
 	"github.com/dotterellink/dotterellink/internal/membership"
+	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/mesh/meshtest"
 	"github.com/dotterellink/dotterellink/internal/routing"
 	"github.com/dotterellink/dotterellink/internal/standin/enginestandin"
@@ -63,6 +65,20 @@
 	served, failed int
 	started        map[string]int
 	steps          int
+	// bytes counts the bodies of calls and answers of all instances.
+	bytes atomic.Int64
+}
+
+// countingMesh counts the bodies that an instance sends and gets as a caller.
+type countingMesh struct {
+	mesh.Mesh
+	bytes *atomic.Int64
+}
+
+func (m *countingMesh) Call(ctx context.Context, to, method string, body []byte) ([]byte, error) {
+	answer, err := m.Mesh.Call(ctx, to, method, body)
+	m.bytes.Add(int64(len(body) + len(answer)))
+	return answer, err
 }
 
 func newPlant(engines int, change func(*enginestandin.Config)) *plant {
@@ -103,7 +119,7 @@
 
 func (p *plant) addEntry(name, zone string) {
 	logger := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
-	member := p.network.Join(name, zone)
+	member := &countingMesh{Mesh: p.network.Join(name, zone), bytes: &p.bytes}
 	members := func() []membership.Member { return p.members(name) }
 	e := &entry{name: name, zone: zone}
 	e.inventory = inventory.New(func() *environment.View { return p.view }, p.fleet, p.clock, logger)
@@ -298,4 +314,19 @@
 		Expect(w.PeakColdConcurrent).To(BeNumerically("<=", 2))
 		Expect(p.served - served).To(BeNumerically(">", 20))
 	})
+
+	It("cost an instance less than 17 KB a second of control traffic at today's size", func() {
+		p := newPlant(12, func(c *enginestandin.Config) {
+			coldEngine(c)
+			for n := range 20 {
+				c.Residents = append(c.Residents, target.Resident{Model: "reader", Adapter: fmt.Sprintf("adapter-%d", n), MemoryMB: 1})
+			}
+		})
+		p.run(10*time.Second, 1)
+		p.bytes.Store(0)
+		p.run(10*time.Second, 1)
+		perSecond := float64(p.bytes.Load()) / 10 / 7
+		AddReportEntry("bytes a second and instance, as a caller", perSecond)
+		Expect(perSecond).To(BeNumerically("<", 17_000))
+	})
 })
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -215,7 +215,7 @@
 		i.note(t.Name, err)
 		return
 	}
-	after := i.adoptReport(t.Name, report, asked)
+	after := i.adoptReport(t.Name, inOrder(report), asked)
 	events, err := i.reporter.CacheEvents(ctx, t.Address, after)
 	if err != nil {
 		i.log.Debugf("No cache events from %s: %v.", t.Name, err)
--- a/internal/inventory/records.go
+++ b/internal/inventory/records.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -49,6 +50,16 @@
 	return true
 }
 
+// inOrder returns the report with its residents in a fixed order, as engines list
+// them in any.
+func inOrder(report target.Report) target.Report {
+	report.Residents = slices.Clone(report.Residents)
+	slices.SortFunc(report.Residents, func(a, b target.Resident) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.Version, b.Version))
+	})
+	return report
+}
+
 // sameBody reports whether only the load differs.
 func sameBody(a, b *target.Report) bool {
 	return a.Incarnation == b.Incarnation && a.MemoryMB == b.MemoryMB && a.Role == b.Role &&
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -45,6 +45,8 @@
 	next    int
 	resumes int
 	sinkErr error
+	// slot is the place of the present attempt.
+	slot *routing.Slot
 }
 
 func (m *modelRun) run(ctx context.Context) error {
@@ -93,6 +95,7 @@
 	spanCtx, span := m.relay.tracer.Start(ctx, "relay.attempt", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	id := m.relay.newAttemptID()
+	m.slot = slot
 	var err error
 	for tries := 0; ; tries++ {
 		before := m.next
@@ -169,6 +172,9 @@
 		if err != nil {
 			return m.failure(ctx, merry.Wrap(ErrBroken, merry.WithCause(err)))
 		}
+		if m.call.Stream {
+			m.slot.FirstToken()
+		}
 		if err := m.deliver(chunk); err != nil {
 			return err
 		}
