--- a/internal/inventory/exchange.go
+++ b/internal/inventory/exchange.go
@@ -139,6 +139,7 @@
 			report = *s.Body
 			// The body was not told by this instance, if it polls the target later.
 			r.bodyVersion = 0
+			i.bodies++
 		}
 		hasBody := s.Body != nil || report.Incarnation == s.Incarnation
 		if hasBody && at.After(r.at) {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -75,10 +75,16 @@
 	peers    map[string]peerState
 	onEvents []func([]TargetEvents)
 	onChange []func()
+	// bodies counts the changes of reports beyond loads.
+	bodies uint64
 
 	// publishing orders the snapshots. It is taken before mu.
 	publishing sync.Mutex
 	snapshot   atomic.Pointer[Snapshot]
+	// layout is the one of the last snapshot, made of layoutState and layoutBodies.
+	layout       *layout
+	layoutState  *environment.State
+	layoutBodies uint64
 }
 
 // New returns an inventory without reports that polls every target. The function
@@ -258,6 +264,7 @@
 	r.version = i.version
 	if r.take(report, asked) && (r.bodyVersion == 0 || !sameBody(&before, &report)) {
 		r.bodyVersion = i.version
+		i.bodies++
 	}
 	return r.lastEvent
 }
@@ -302,8 +309,12 @@
 		states = append(states, state)
 	}
 	listeners := i.onChange
+	bodies := i.bodies
 	i.mu.Unlock()
-	snapshot := NewSnapshot(view, states)
+	if i.layout == nil || i.layoutState != view.State || i.layoutBodies != bodies {
+		i.layout, i.layoutState, i.layoutBodies = newLayout(states), view.State, bodies
+	}
+	snapshot := newSnapshot(view, states, i.layout)
 	i.snapshot.Store(snapshot)
 	i.publishing.Unlock()
 	i.metrics.measure(snapshot, i.clock.Now())
--- a/internal/inventory/snapshot.go
+++ b/internal/inventory/snapshot.go
@@ -51,15 +51,29 @@
 type Snapshot struct {
 	View    *environment.View
 	Targets []*TargetState
-	byName  map[string]*TargetState
+	layout  *layout
 	// serving lists the engines on which a model or adapter is ready.
 	serving map[string][]*TargetState
 	// services lists the targets of each plain service.
 	services map[string][]*TargetState
 }
 
+// layout holds places in the list of targets by name. It stays the same while
+// only loads change, so that snapshots need not index all residents anew.
+type layout struct {
+	byName   map[string]int
+	serving  map[string][]int
+	services map[string][]int
+}
+
 // Target returns the state of the target or nil.
-func (s *Snapshot) Target(name string) *TargetState { return s.byName[name] }
+func (s *Snapshot) Target(name string) *TargetState {
+	place, ok := s.layout.byName[name]
+	if !ok {
+		return nil
+	}
+	return s.Targets[place]
+}
 
 // Serving returns the engines that report the model or adapter as ready.
 func (s *Snapshot) Serving(name string) []*TargetState { return s.serving[name] }
@@ -69,24 +83,54 @@
 
 // NewSnapshot indexes the states of targets.
 func NewSnapshot(view *environment.View, states []*TargetState) *Snapshot {
-	s := &Snapshot{
+	return newSnapshot(view, states, newLayout(states))
+}
+
+func newSnapshot(view *environment.View, states []*TargetState, l *layout) *Snapshot {
+	return &Snapshot{
 		View:     view,
 		Targets:  states,
-		byName:   make(map[string]*TargetState, len(states)),
-		serving:  make(map[string][]*TargetState),
-		services: make(map[string][]*TargetState),
+		layout:   l,
+		serving:  resolve(l.serving, states),
+		services: resolve(l.services, states),
+	}
+}
+
+func newLayout(states []*TargetState) *layout {
+	l := &layout{
+		byName:   make(map[string]int, len(states)),
+		serving:  make(map[string][]int),
+		services: make(map[string][]int),
 	}
-	for _, state := range states {
-		s.byName[state.Target.Name] = state
+	for place, state := range states {
+		l.byName[state.Target.Name] = place
 		if state.Target.Kind == environment.TargetService {
-			s.services[state.Target.Service] = append(s.services[state.Target.Service], state)
+			l.services[state.Target.Service] = append(l.services[state.Target.Service], place)
 		}
 		for i := range state.Report.Residents {
 			r := &state.Report.Residents[i]
 			if r.State == target.ResidencyReady {
-				s.serving[servedName(r)] = append(s.serving[servedName(r)], state)
+				l.serving[servedName(r)] = append(l.serving[servedName(r)], place)
 			}
 		}
 	}
-	return s
+	return l
+}
+
+// resolve turns places into states; all lists share one array.
+func resolve(places map[string][]int, states []*TargetState) map[string][]*TargetState {
+	total := 0
+	for _, list := range places {
+		total += len(list)
+	}
+	all := make([]*TargetState, 0, total)
+	out := make(map[string][]*TargetState, len(places))
+	for name, list := range places {
+		from := len(all)
+		for _, place := range list {
+			all = append(all, states[place])
+		}
+		out[name] = all[from:len(all):len(all)]
+	}
+	return out
 }
