Cold start, inventory: leaving instances serve where there are no others

With every instance of a zone leaving, its targets had no grantor, and with all instances leaving no poller, so that running instances lost them after 4 s. Seen failing: one spec each of internal/coldstart and internal/inventory.

--- a/internal/coldstart/fleet_test.go
+++ b/internal/coldstart/fleet_test.go
@@ -42,6 +42,7 @@
 	router     *routing.Router
 	calls      []running
 	dead       bool
+	leaving    bool
 }
 
 type running struct {
@@ -145,7 +146,7 @@
 	var out []membership.Member
 	for _, e := range p.entries {
 		if !e.dead {
-			out = append(out, membership.Member{Name: e.name, Zone: e.zone})
+			out = append(out, membership.Member{Name: e.name, Zone: e.zone, Leaving: e.leaving})
 		}
 	}
 	return out
@@ -298,6 +299,19 @@
 		Expect(p.failed).To(BeZero())
 	})
 
+	It("go on at once while all instances of their zone are leaving", func() {
+		p := newPlant(1, coldEngine)
+		p.run(10*time.Second, 1)
+		for _, e := range p.entries {
+			e.leaving = e.zone == "a"
+		}
+		p.run(10*time.Second, 1)
+		before := p.served
+		p.run(5*time.Second, 1)
+		Expect(p.served - before).To(BeNumerically(">", 100))
+		Expect(p.failed).To(BeZero())
+	})
+
 	It("keep their bound when the grantor dies", func() {
 		p := newPlant(1, func(c *enginestandin.Config) { coldEngine(c); c.StartCold = true; c.ColdCompletions = 1_000_000 })
 		p.run(12*time.Second, 1)
--- a/internal/coldstart/role.go
+++ b/internal/coldstart/role.go
@@ -7,26 +7,30 @@
 )
 
 // grantorOf returns the instance that divides the permits of a zone: the first
-// by name among the zone's live instances that are not leaving. A zone without
-// live instances since foreignDelay falls to the first of all instances; before
-// that it has none.
+// by name among the zone's live instances, those that are leaving only if there
+// is no other. A zone without live instances since foreignDelay falls to the
+// first of all instances; before that it has none.
 func grantorOf(zone string, members []membership.Member, absentFor time.Duration) string {
-	first, foreign := "", ""
+	if name := first(members, func(m membership.Member) bool { return m.Zone == zone && !m.Leaving }); name != "" {
+		return name
+	}
+	if name := first(members, func(m membership.Member) bool { return m.Zone == zone }); name != "" {
+		return name
+	}
+	if absentFor < foreignDelay {
+		return ""
+	}
+	return first(members, func(m membership.Member) bool { return !m.Leaving })
+}
+
+func first(members []membership.Member, counts func(membership.Member) bool) string {
+	name := ""
 	for _, m := range members {
-		if m.Leaving {
-			continue
-		}
-		if m.Zone == zone && (first == "" || m.Name < first) {
-			first = m.Name
+		if counts(m) && (name == "" || m.Name < name) {
+			name = m.Name
 		}
-		if foreign == "" || m.Name < foreign {
-			foreign = m.Name
-		}
-	}
-	if first == "" && absentFor >= foreignDelay {
-		return foreign
 	}
-	return first
+	return name
 }
 
 // hasMember reports whether the zone has a live instance, leaving or not.
--- a/internal/inventory/assignment.go
+++ b/internal/inventory/assignment.go
@@ -8,20 +8,25 @@
 )
 
 // pollerOf returns the instance that polls the target: among the live instances
-// of the target's zone, or of all zones if that has none, the one with the
-// highest hash of both names. A change of membership moves only the targets of
-// the instance that came or went.
+// of the target's zone that are not leaving, or of all zones if that has none,
+// the one with the highest hash of both names. Leaving instances poll if there
+// are no others. A change of membership moves only the targets of the instance
+// that came or went.
 func pollerOf(t *environment.Target, members []membership.Member) string {
-	if name := highest(t, members, true); name != "" {
-		return name
+	name := highest(t, members, func(m membership.Member) bool { return m.Zone == t.Zone && !m.Leaving })
+	if name == "" {
+		name = highest(t, members, func(m membership.Member) bool { return !m.Leaving })
 	}
-	return highest(t, members, false)
+	if name == "" {
+		name = highest(t, members, func(membership.Member) bool { return true })
+	}
+	return name
 }
 
-func highest(t *environment.Target, members []membership.Member, ownZone bool) string {
+func highest(t *environment.Target, members []membership.Member, counts func(membership.Member) bool) string {
 	best, bestHash := "", uint64(0)
 	for _, m := range members {
-		if m.Leaving || (ownZone && m.Zone != t.Zone) {
+		if !counts(m) {
 			continue
 		}
 		if hash := xxhash.Sum64String(m.Name + "\x00" + t.Name); best == "" || hash > bestHash {
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -191,6 +191,18 @@
 		Expect(s.state("b2", "e0").IsFresh(s.clock.Now())).To(BeTrue())
 	})
 
+	It("moves the polling away from leaving instances unless there are no others", func() {
+		leaving := membership.Member{Name: "a1", Zone: "a", Leaving: true}
+		for _, name := range s.names {
+			s.members[name] = []membership.Member{leaving, {Name: "a2", Zone: "a"}, {Name: "b1", Zone: "b"}, {Name: "b2", Zone: "b"}}
+		}
+		s.poll(time.Second, "a1")
+		Expect(s.reporter.asked).To(BeEmpty())
+		s.members["a1"] = []membership.Member{leaving}
+		s.poll(time.Second, "a1")
+		Expect(s.state("a1", "e0").IsFresh(s.clock.Now())).To(BeTrue())
+	})
+
 	It("keeps a cut-off zone's own reports fresh and lets the others age", func() {
 		s.poll(time.Second, s.names...)
 		s.network.CutZone("b", true)
