--- a/internal/instance/wire_admission.go
+++ b/internal/instance/wire_admission.go
@@ -22,6 +22,7 @@
 		return
 	}
 	fair := admission.NewFair(i.router, i.deps.Clock, i.registry)
+	i.router.OnFreed(fair.Look)
 	i.run(fair.Run)
 	i.picker = fair
 }
--- /dev/null
+++ b/internal/inventory/snapshot.go
@@ -0,0 +1,136 @@
+// Package inventory knows what targets report of themselves: models and
+// adapters in memory, load and cold start. Decisions elsewhere read its
+// immutable snapshots.
+package inventory
+
+import (
+	"time"
+
+	"github.com/dotterellink/dotterellink/internal/environment"
+	"github.com/dotterellink/dotterellink/internal/target"
+)
+
+// StaleAfter is the age above which a report says nothing of a target.
+const StaleAfter = 3 * time.Second
+
+// TargetState is one target with its newest report.
+type TargetState struct {
+	Target *environment.Target
+	Report target.Report
+	// ReceivedAt is the monotonic time at which the report was asked for; zero
+	// without any report.
+	ReceivedAt time.Time
+	// Unreachable is set while the last polls or probes of the target failed.
+	Unreachable bool
+}
+
+// IsFresh reports whether the report still counts.
+func (s *TargetState) IsFresh(now time.Time) bool {
+	return !s.ReceivedAt.IsZero() && now.Sub(s.ReceivedAt) < StaleAfter
+}
+
+// Serves reports whether the model or adapter with the name is ready.
+func (s *TargetState) Serves(name string) bool {
+	for i := range s.Report.Residents {
+		r := &s.Report.Residents[i]
+		if r.State == target.ResidencyReady && servedName(r) == name {
+			return true
+		}
+	}
+	return false
+}
+
+func servedName(r *target.Resident) string {
+	if r.Adapter != "" {
+		return r.Adapter
+	}
+	return r.Model
+}
+
+// Snapshot is an immutable view of all targets of the document in force.
+type Snapshot struct {
+	View    *environment.View
+	Targets []*TargetState
+	layout  *layout
+	// serving lists the engines on which a model or adapter is ready.
+	serving map[string][]*TargetState
+	// services lists the targets of each plain service.
+	services map[string][]*TargetState
+}
+
+// layout holds places in the list of targets by name. It stays the same while
+// only loads change, so that snapshots need not index all residents anew.
+type layout struct {
+	byName   map[string]int
+	serving  map[string][]int
+	services map[string][]int
+}
+
+// Target returns the state of the target or nil.
+func (s *Snapshot) Target(name string) *TargetState {
+	place, ok := s.layout.byName[name]
+	if !ok {
+		return nil
+	}
+	return s.Targets[place]
+}
+
+// Serving returns the engines that report the model or adapter as ready.
+func (s *Snapshot) Serving(name string) []*TargetState { return s.serving[name] }
+
+// ServiceTargets returns the targets of a plain service.
+func (s *Snapshot) ServiceTargets(service string) []*TargetState { return s.services[service] }
+
+// NewSnapshot indexes the states of targets.
+func NewSnapshot(view *environment.View, states []*TargetState) *Snapshot {
+	return newSnapshot(view, states, newLayout(states))
+}
+
+func newSnapshot(view *environment.View, states []*TargetState, l *layout) *Snapshot {
+	return &Snapshot{
+		View:     view,
+		Targets:  states,
+		layout:   l,
+		serving:  resolve(l.serving, states),
+		services: resolve(l.services, states),
+	}
+}
+
+func newLayout(states []*TargetState) *layout {
+	l := &layout{
+		byName:   make(map[string]int, len(states)),
+		serving:  make(map[string][]int),
+		services: make(map[string][]int),
+	}
+	for place, state := range states {
+		l.byName[state.Target.Name] = place
+		if state.Target.Kind == environment.TargetService {
+			l.services[state.Target.Service] = append(l.services[state.Target.Service], place)
+		}
+		for i := range state.Report.Residents {
+			r := &state.Report.Residents[i]
+			if r.State == target.ResidencyReady {
+				l.serving[servedName(r)] = append(l.serving[servedName(r)], place)
+			}
+		}
+	}
+	return l
+}
+
+// resolve turns places into states; all lists share one array.
+func resolve(places map[string][]int, states []*TargetState) map[string][]*TargetState {
+	total := 0
+	for _, list := range places {
+		total += len(list)
+	}
+	all := make([]*TargetState, 0, total)
+	out := make(map[string][]*TargetState, len(places))
+	for name, list := range places {
+		from := len(all)
+		for _, place := range list {
+			all = append(all, states[place])
+		}
+		out[name] = all[from:len(all):len(all)]
+	}
+	return out
+}
