A slow caller does not count as a silent target

The inactivity timeout ran on while a chunk was being written to the caller. Seen failing without the change: the new spec of a slow caller (the stream was resumed at the target although the target had sent all). A spec checks the spans of each hop and the trace context that targets get.

--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -169,6 +169,8 @@
 		if err != nil {
 			return m.failure(ctx, merry.Wrap(ErrBroken, merry.WithCause(err)))
 		}
+		// The time that the caller takes to read is not the target's.
+		watchdog.Stop()
 		if err := m.deliver(chunk); err != nil {
 			return err
 		}
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"github.com/dotterellink/dotterellink/internal/admission"
 	"github.com/dotterellink/dotterellink/internal/inventory"
@@ -18,6 +19,7 @@
 	"github.com/dotterellink/dotterellink/internal/standin/enginestandin"
 	"github.com/dotterellink/dotterellink/internal/target"
 	"github.com/dotterellink/dotterellink/internal/target/httptarget"
+	"github.com/dotterellink/dotterellink/internal/telemetry"
 )
 
 // engineFunc is a scripted engine.
@@ -146,6 +148,40 @@
 		Expect(w.runs()).To(Equal(1))
 	})
 
+	It("does not hold a slow caller against the target", func() {
+		out.onChunk = func(int) error {
+			w.clock.Advance(10 * time.Second)
+			return nil
+		}
+		call := w.call(10, true)
+		call.Deadline = time.Time{}
+		_, err := w.relay.Generate(ctx, call, out)
+		Expect(err).NotTo(HaveOccurred())
+		out.expectTokens(10)
+		Expect(w.engines[0].Witness().Calls + w.engines[1].Witness().Calls).To(Equal(1))
+	})
+
+	It("passes the trace on to the target from a span for each hop", func() {
+		recorder := tracetest.NewSpanRecorder()
+		var parent string
+		r := relay.New(relay.Config{
+			Picker: admission.NewDirect(w.router()), Clock: w.clock, Log: telemetry.Discard(),
+			Tracer: telemetry.NewTracingTo(recorder).Tracer,
+			Engines: engineFunc(func(ctx context.Context, address string, call *target.ModelCall) (target.Stream, error) {
+				parent = call.TraceParent
+				return w.fleet().Generate(ctx, address, call)
+			}),
+		})
+		_, err := r.Generate(ctx, w.call(1, true), out)
+		Expect(err).NotTo(HaveOccurred())
+		spans := make(map[string]string)
+		for _, span := range recorder.Ended() {
+			spans[span.Name()] = span.SpanContext().SpanID().String()
+		}
+		Expect(spans).To(HaveKey("relay.admission"))
+		Expect(parent).To(ContainSubstring(spans["relay.attempt"]))
+	})
+
 	It("gives attempts identifiers that callers cannot choose", func() {
 		for range 20 {
 			_, err := w.relay.Generate(ctx, w.call(1, true), &sink{})
