--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/jonboulle/clockwork"
+	"github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dotterellink/dotterellink/internal/admission"
@@ -38,6 +39,7 @@
 	direct string
 	entry  string
 	client *http.Client
+	engine *enginestandin.Engine
 	// calls numbers direct calls.
 	calls atomic.Int64
 }
@@ -47,9 +49,10 @@
 	cfg := enginestandin.DefaultConfig("engine")
 	cfg.TokenIntervalMS, cfg.BatchSlowdown, cfg.PrefillTokensPerSecond, cfg.Slots = intervalMS, 0, 1e12, 4096
 	cfg.Residents = []target.Resident{{Model: "reader", MemoryMB: 1}}
-	engine := httptest.NewServer(enginestandin.NewHandler(enginestandin.New(cfg, clock, 1)))
-	tb.Cleanup(engine.Close)
-	address := strings.TrimPrefix(engine.URL, "http://")
+	engine := enginestandin.New(cfg, clock, 1)
+	back := httptest.NewServer(enginestandin.NewHandler(engine))
+	tb.Cleanup(back.Close)
+	address := strings.TrimPrefix(back.URL, "http://")
 
 	key, record := keys.New()
 	record.Account = "celula"
@@ -80,7 +83,7 @@
 	tb.Cleanup(front.Close)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, DisableCompression: true}}
 	tb.Cleanup(client.CloseIdleConnections)
-	return &wholePath{key: key, direct: engine.URL, entry: front.URL, client: client}
+	return &wholePath{key: key, direct: back.URL, entry: front.URL, client: client, engine: engine}
 }
 
 // open starts a call at base; direct calls need an identifier.
@@ -253,6 +256,19 @@
 	}
 }
 
+func TestCallerThatLeavesCancelsAtTheEngine(t *testing.T) {
+	p := newWholePath(t, 5)
+	response, err := p.open(p.entry, 500_000, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(response.Body, make([]byte, 256)); err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	gomega.NewWithT(t).Eventually(func() int { return p.engine.Witness().Cancelled }, 10*time.Second).Should(gomega.Equal(1))
+}
+
 func TestStreamsLeaveNoMemoryBehind(t *testing.T) {
 	const limitBytes = 8 << 20
 	p := newWholePath(t, 0)
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -164,7 +164,7 @@
 
 func isHopByHop(name string) bool {
 	switch name {
-	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host":
+	case "Connection", "Expect", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host":
 		return true
 	}
 	return false
