--- a/internal/idempotency/suite_test.go
+++ b/internal/idempotency/suite_test.go
@@ -11,7 +11,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
