--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -172,14 +172,11 @@
 		if err != nil {
 			return m.failure(ctx, merry.Wrap(ErrBroken, merry.WithCause(err)))
 		}
-<<<<<<< HEAD
 		if m.call.Stream {
 			m.slot.FirstToken()
 		}
-=======
 		// The time that the caller takes to read is not the target's.
 		watchdog.Stop()
->>>>>>> relay
 		if err := m.deliver(chunk); err != nil {
 			return err
 		}
