--- a/internal/instance/wire_admission.go
+++ b/internal/instance/wire_admission.go
@@ -7,6 +7,7 @@
 	"github.com/dotterellink/dotterellink/internal/admission"
 	"github.com/dotterellink/dotterellink/internal/environment"
 	"github.com/dotterellink/dotterellink/internal/quota"
+	"github.com/dotterellink/dotterellink/internal/routing"
 	"github.com/dotterellink/dotterellink/internal/settings"
 )
 
@@ -17,16 +18,28 @@
 // wireAdmission makes the parts that admit and order requests.
 func (i *Instance) wireAdmission() {
 	i.wireQuota()
+	router := i.chosenRouter()
 	if i.settings.Policies.Queue == settings.PolicyNone {
-		i.picker = admission.NewDirect(i.router)
+		i.picker = admission.NewDirect(router)
 		return
 	}
-	fair := admission.NewFair(i.router, i.deps.Clock, i.registry)
+	fair := admission.NewFair(router, i.deps.Clock, i.registry)
 	i.router.OnFreed(fair.Look)
 	i.run(fair.Run)
 	i.picker = fair
 }
 
+// chosenRouter returns the router that the settings name.
+func (i *Instance) chosenRouter() admission.Router {
+	switch i.settings.Policies.Routing {
+	case settings.PolicyLeastOutstanding:
+		return routing.NewLeastOutstanding(i.inventory.Snapshot, i.deps.Clock)
+	case settings.PolicyRoundRobin:
+		return routing.NewRoundRobin(i.inventory.Snapshot, i.deps.Clock)
+	}
+	return i.router
+}
+
 func (i *Instance) wireQuota() {
 	escrow := quota.New(quota.Config{
 		Environment: i.settings.Environment,
--- a/internal/instance/wire_placement.go
+++ b/internal/instance/wire_placement.go
@@ -8,6 +8,7 @@
 	"github.com/dotterellink/dotterellink/internal/lease"
 	"github.com/dotterellink/dotterellink/internal/orders"
 	"github.com/dotterellink/dotterellink/internal/placement"
+	"github.com/dotterellink/dotterellink/internal/settings"
 )
 
 // wirePlacement makes the parts that decide which models live where and order
@@ -44,7 +45,7 @@
 		Mesh:        i.node,
 		Snapshot:    i.inventory.Snapshot,
 		Recorder:    recorder,
-		Policy:      placement.Priced{},
+		Policy:      i.placementPolicy(),
 		Clock:       d.Clock,
 		Log:         i.part("placement"),
 		Metrics:     i.registry,
@@ -59,6 +60,14 @@
 	})
 }
 
+// placementPolicy returns the policy that the settings name.
+func (i *Instance) placementPolicy() placement.Policy {
+	if i.settings.Policies.Placement == settings.PolicyStatic {
+		return placement.Static{}
+	}
+	return placement.Priced{}
+}
+
 // candidacies returns the leases that the instance may hold.
 func (i *Instance) candidacies() []lease.Candidacy {
 	members := i.membership.Members()
