--- a/internal/idempotency/claims_test.go
+++ b/internal/idempotency/claims_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -41,6 +42,17 @@
 	return object, err
 }
 
+// countingObjects counts the writes tried.
+type countingObjects struct {
+	*platformstandin.Store
+	puts int
+}
+
+func (c *countingObjects) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Object, error) {
+	c.puts++
+	return c.Store.Put(ctx, key, value, expected)
+}
+
 var _ = Describe("An idempotency key", func() {
 	var w *world
 	var first, second *idempotency.Claims
@@ -122,6 +134,16 @@
 		Expect(runs()).To(Equal(1))
 	})
 
+	It("is free again after the caller's guard stopped the request before it was sent", func() {
+		call := w.call("k", "gate 7")
+		call.BeforeSend = func(context.Context) error { return merry.Wrap(relay.ErrNotRun) }
+		_, err := first.Invoke(ctx, call)
+		Expect(err).To(MatchError(relay.ErrNotRun))
+		Expect(runs()).To(BeZero())
+		_, err = second.Invoke(ctx, w.call("k", "gate 7"))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("cannot be claimed while the platform is down, and nothing is sent", func() {
 		w.store.SetFaults(platformstandin.Faults{Outage: true})
 		_, err := first.Invoke(ctx, w.call("k", "gate 7"))
@@ -129,6 +151,23 @@
 		Expect(runs()).To(BeZero())
 	})
 
+	It("is refused at once during an outage, and the platform is asked rarely", func() {
+		w.store.SetFaults(platformstandin.Faults{Outage: true})
+		counting := &countingObjects{Store: w.store}
+		claims := w.instance("one", counting, w.service)
+		const seconds, perSecond = 60, 100
+		for range seconds * perSecond {
+			_, err := claims.Invoke(ctx, w.call("k", "gate 7"))
+			Expect(errors.Is(err, idempotency.ErrUnavailable)).To(BeTrue(), "%v", err)
+			w.clock.Advance(time.Second / perSecond)
+		}
+		Expect(counting.puts).To(BeNumerically("<=", seconds))
+		w.store.SetFaults(platformstandin.Faults{})
+		w.clock.Advance(4 * time.Second)
+		_, err := claims.Invoke(ctx, w.call("k", "gate 7"))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("settles claims whose answers from the platform are lost", func() {
 		w.store.SetFaults(platformstandin.Faults{LoseAnswers: 3})
 		a, err := first.Invoke(ctx, w.call("k", "gate 7"))
