--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"net/http"
@@ -43,7 +44,20 @@
 // authenticate returns the account that a request runs for. It is empty on an
 // open route without a paying account.
 func (s *Server) authenticate(c echo.Context) (string, error) {
+	return s.authenticateRequest(c.Request())
+}
+
+// checkAgain returns a check of the key for right before a call is sent, since
+// it may have been withdrawn while the call waited for a target.
+func (s *Server) checkAgain(c echo.Context) func(context.Context) error {
 	r := c.Request()
+	return func(context.Context) error {
+		_, err := s.authenticateRequest(r)
+		return err
+	}
+}
+
+func (s *Server) authenticateRequest(r *http.Request) (string, error) {
 	view := s.views.View()
 	authorization := r.Header.Get(echo.HeaderAuthorization)
 	if authorization == "" {
@@ -67,6 +81,17 @@
 	return key.Account, nil
 }
 
+// readAuthenticatedBody reads the body and checks the key again: it may have been
+// withdrawn while the body was on its way.
+func (s *Server) readAuthenticatedBody(c echo.Context) ([]byte, error) {
+	body, err := readBody(c)
+	if err != nil {
+		return nil, err
+	}
+	_, err = s.authenticate(c)
+	return body, err
+}
+
 func (s *Server) generate(kind target.Kind) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		started := s.clock.Now()
@@ -92,7 +117,7 @@
 }
 
 func (s *Server) readModelRequest(c echo.Context, kind target.Kind, account string) (*admitted, error) {
-	body, err := readBody(c)
+	body, err := s.readAuthenticatedBody(c)
 	if err != nil {
 		return nil, err
 	}
@@ -191,16 +216,17 @@
 	defer cancel()
 	sink := &responseSink{server: s, context: c, stream: a.request.Stream, usage: a.request.IncludeUsage, started: started}
 	result, err := s.relay.Generate(ctx, &relay.Call{
-		ID:        c.Get(requestIDKey).(string),
-		Account:   a.account,
-		Served:    a.request.Model,
-		Kind:      kind,
-		Body:      a.body,
-		Stream:    a.request.Stream,
-		Class:     a.class,
-		Deadline:  a.deadline,
-		Prefixes:  target.PrefixHashes(a.prompt),
-		MaxTokens: a.limit,
+		BeforeSend: s.checkAgain(c),
+		ID:         c.Get(requestIDKey).(string),
+		Account:    a.account,
+		Served:     a.request.Model,
+		Kind:       kind,
+		Body:       a.body,
+		Stream:     a.request.Stream,
+		Class:      a.class,
+		Deadline:   a.deadline,
+		Prefixes:   target.PrefixHashes(a.prompt),
+		MaxTokens:  a.limit,
 	}, sink)
 	if err != nil {
 		return result, sink.fail(err)
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -82,11 +82,12 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(c)
+	body, err := s.readAuthenticatedBody(c)
 	if err != nil {
 		return nil, err
 	}
 	return &relay.ServiceCall{
+		BeforeSend:     s.checkAgain(c),
 		ID:             c.Get(requestIDKey).(string),
 		Account:        account,
 		Service:        service.Name,
