--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -79,8 +79,8 @@
 		return false
 	}
 	e.ledger.Accept(now, asked, peer, request, answer)
-	e.metrics.borrowed.WithLabelValues(account).Add(answer.Part.Burst)
-	return answer.Part.Burst > 0
+	e.metrics.borrowed.WithLabelValues(account).Add(answer.Tokens)
+	return answer.Tokens > 0
 }
 
 // onLoan lends to a peer.
@@ -91,7 +91,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	answer := e.ledger.Grant(e.now(), r)
-	e.metrics.lent.WithLabelValues(r.Account).Add(answer.Part.Burst)
+	e.metrics.lent.WithLabelValues(r.Account).Add(answer.Tokens)
 	return answer, nil
 }
 
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -107,9 +107,6 @@
 func (l *Ledger) SetShare(now time.Time, name string, share Share, full bool) bool {
 	a := l.account(now, name)
 	isNew := a.share == Share{} && len(a.lent) == 0
-	if share.Burst < a.share.Burst-tokenEpsilon && len(a.lent)+len(a.ended) > 0 {
-		a.own.forbidRefunds()
-	}
 	a.share = share
 	a.fit()
 	if full && isNew {
@@ -198,7 +195,7 @@
 
 type heldPart struct {
 	bucket *bucket
-	epoch  uint64
+	hold   *hold
 	tokens float64
 }
 
@@ -226,8 +223,7 @@
 	if taken <= 0 {
 		return 0
 	}
-	b.take(taken)
-	h.parts = append(h.parts, heldPart{bucket: b, epoch: b.epoch, tokens: taken})
+	h.parts = append(h.parts, heldPart{bucket: b, hold: b.take(taken), tokens: taken})
 	return taken
 }
 
@@ -241,7 +237,8 @@
 		p := h.parts[i]
 		back := math.Min(refund, p.tokens)
 		p.bucket.advance(now)
-		p.bucket.settle(p.epoch, p.tokens, back)
+		p.bucket.refund(p.hold, back)
+		p.bucket.release(p.hold)
 		refund -= back
 	}
 	if used > h.tokens {
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -47,7 +47,7 @@
 func (m *machine) step(t *rapid.T) {
 	w := m.world
 	steps := []func(*rapid.T){
-		m.demand, m.demand, m.demand, m.demand, m.end, m.end,
+		m.demand, m.demand, m.demand, m.exhaust, m.exhaust, m.end, m.end,
 		m.sync, m.sync, m.sync, m.syncAll,
 		m.pass, m.pass, m.passLong,
 		m.fail, m.fail, m.cut, m.platform, m.change, m.learn,
@@ -66,8 +66,21 @@
 		return
 	}
 	account := rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(t, "account")
+	tokens := rapid.Int64Range(1, 2500).Draw(t, "tokens")
 	for range rapid.IntRange(1, 8).Draw(t, "requests") {
-		_, _ = n.reserve(account, rapid.Int64Range(1, 2500).Draw(t, "tokens"))
+		_, _ = n.reserve(account, tokens)
+	}
+}
+
+// exhaust takes what every running instance gives.
+func (m *machine) exhaust(t *rapid.T) {
+	tokens := rapid.Int64Range(20, 300).Draw(t, "tokens")
+	for _, n := range m.world.nodes {
+		for !n.dead && !n.paused {
+			if _, err := n.reserve("a", tokens); err != nil {
+				break
+			}
+		}
 	}
 }
 
--- a/internal/quota/returns.go
+++ b/internal/quota/returns.go
@@ -11,12 +11,13 @@
 
 // lentLoan is a loan as the lender keeps it.
 type lentLoan struct {
-	id    string
-	part  Share
-	until time.Time
-	// epoch is that of the lender's bucket at the grant. Tokens come back only to
-	// a bucket of the same epoch.
-	epoch uint64
+	id   string
+	part Share
+	// tokens were lent with the capacity in part.
+	tokens float64
+	until  time.Time
+	// hold is what may come back after the end.
+	hold *hold
 	// returned is the number of tokens that the borrower has given back;
 	// credited is the part of it that is in the lender's bucket.
 	returned float64
@@ -50,17 +51,21 @@
 		a.own.advance(loan.until)
 		a.lent = a.lent[1:]
 		a.fit()
+		loan.hold = a.own.expect(loan.part.Burst)
 		a.ended = append(a.ended, loan)
 		a.credit(loan)
 	}
-	a.ended = slices.DeleteFunc(a.ended, func(l *lentLoan) bool { return now.Sub(l.until) > returnWindow })
+	for len(a.ended) > 0 && now.Sub(a.ended[0].until) > returnWindow {
+		a.own.release(a.ended[0].hold)
+		a.ended = a.ended[1:]
+	}
 }
 
 // credit puts returned tokens into the own bucket.
 func (a *accountLedger) credit(loan *lentLoan) {
 	more := loan.returned - loan.credited
 	loan.credited = loan.returned
-	a.own.settle(loan.epoch, 0, more)
+	a.own.refund(loan.hold, more)
 }
 
 // freeze ends borrowed loans.
@@ -73,7 +78,7 @@
 		a.frozen = append(a.frozen, loan)
 	}
 	a.frozen = slices.DeleteFunc(a.frozen, func(l *borrowedLoan) bool {
-		isDone := l.bucket.outstanding <= tokenEpsilon && l.told >= l.bucket.level
+		isDone := l.bucket.refundable <= tokenEpsilon && l.told >= l.bucket.level
 		return isDone || now.Sub(l.until) > returnWindow
 	})
 }
--- a/internal/quota/static.go
+++ b/internal/quota/static.go
@@ -18,17 +18,12 @@
 	clock  clockwork.Clock
 
 	mu      sync.Mutex
-	buckets map[string]*staticBucket
-}
-
-type staticBucket struct {
-	tokens float64
-	at     time.Time
+	buckets map[string]*bucket
 }
 
 // NewStatic returns a limiter that admits one part in shares of every account.
 func NewStatic(views func() *environment.View, shares int, clock clockwork.Clock) *Static {
-	return &Static{views: views, shares: int64(shares), clock: clock, buckets: make(map[string]*staticBucket)}
+	return &Static{views: views, shares: int64(shares), clock: clock, buckets: make(map[string]*bucket)}
 }
 
 // Reserve implements Limiter.
@@ -44,22 +39,22 @@
 	now := s.clock.Now()
 	b := s.buckets[account]
 	if b == nil {
-		b = &staticBucket{tokens: burst, at: now}
+		b = newBucket(now, Share{}, burst)
 		s.buckets[account] = b
 	}
-	b.tokens = min(burst, b.tokens+rate*now.Sub(b.at).Seconds())
-	b.at = now
-	if b.tokens < float64(tokens) {
-		missing := (float64(tokens) - b.tokens) / rate
+	b.resize(Share{Rate: rate, Burst: burst})
+	b.advance(now)
+	if b.level < float64(tokens) {
+		missing := (float64(tokens) - b.level) / rate
 		return nil, &RefusedError{Account: account, Tokens: tokens, Reason: ReasonRate, RetryAfter: time.Duration(missing * float64(time.Second))}
 	}
-	b.tokens -= float64(tokens)
-	return &staticReservation{limiter: s, bucket: b, tokens: tokens}, nil
+	return &staticReservation{limiter: s, bucket: b, hold: b.take(float64(tokens)), tokens: tokens}, nil
 }
 
 type staticReservation struct {
 	limiter *Static
-	bucket  *staticBucket
+	bucket  *bucket
+	hold    *hold
 	tokens  int64
 }
 
@@ -67,5 +62,7 @@
 func (r *staticReservation) Settle(used int64) {
 	r.limiter.mu.Lock()
 	defer r.limiter.mu.Unlock()
-	r.bucket.tokens += float64(max(0, r.tokens-used))
+	r.bucket.advance(r.limiter.clock.Now())
+	r.bucket.refund(r.hold, float64(max(0, r.tokens-used)))
+	r.bucket.release(r.hold)
 }
