--- a/internal/quota/escrow_test.go
+++ b/internal/quota/escrow_test.go
@@ -151,6 +151,56 @@
 		Expect(w.store.Stats().Writes - before).To(BeNumerically("<=", 3*60))
 	})
 
+	It("gives a joining instance nothing before the others keep their cut", func() {
+		w := newWorld(1, 2)
+		w.chance(0)
+		w.nodes[1].crash()
+		w.settle()
+		w.accept(w.document(rate, burst))
+		w.learn()
+		w.settle()
+		w.nodes[0].paused = true
+		w.nodes[1].start()
+		w.settle()
+		w.clock.Advance(9 * time.Second)
+		Expect(w.nodes[1].drain(10)).To(BeZero())
+		w.nodes[0].paused = false
+		w.nodes[0].drain(10)
+		Expect(w.overdraft("a")).To(BeEmpty())
+		w.settle()
+		Expect(w.nodes[1].share()).To(BeNumerically("~", rate/2, 1))
+	})
+
+	It("spends a loan no longer than the lender lends it", func() {
+		w := startedWorld(1, 1)
+		w.nodes[0].drain(10)
+		w.nodes[1].drain(10)
+		w.clock.Advance(20 * time.Second)
+		w.late = func() time.Duration { return 1500 * time.Millisecond }
+		_, err := w.nodes[0].reserve("a", burst/2+1000)
+		Expect(err).NotTo(HaveOccurred())
+		w.late = nil
+		w.clock.Advance(time.Second)
+		w.network.Cut(w.nodes[0].name, w.nodes[1].name, true)
+		for range 20 {
+			w.nodes[1].drain(10)
+			w.nodes[0].drain(10)
+			w.clock.Advance(time.Second)
+		}
+		Expect(w.overdraft("a")).To(BeEmpty())
+	})
+
+	It("adds no refund to a bucket that has been full since", func() {
+		w := startedWorld(1)
+		long, err := w.nodes[0].reserve("a", 5000)
+		Expect(err).NotTo(HaveOccurred())
+		w.clock.Advance(time.Minute)
+		w.nodes[0].drain(10)
+		long.end(0)
+		w.nodes[0].drain(10)
+		Expect(w.overdraft("a")).To(BeEmpty())
+	})
+
 	It("lets accounts come and go without new tokens", func() {
 		w := startedWorld(1, 1)
 		for range 5 {
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -72,11 +72,18 @@
 	}
 }
 
+// maxExhausting bounds the requests of one instance in one step: late answers
+// make time pass, which brings more tokens.
+const maxExhausting = 100
+
 // exhaust takes what every running instance gives.
 func (m *machine) exhaust(t *rapid.T) {
 	tokens := rapid.Int64Range(20, 300).Draw(t, "tokens")
 	for _, n := range m.world.nodes {
-		for !n.dead && !n.paused {
+		for range maxExhausting {
+			if n.dead || n.paused {
+				break
+			}
 			if _, err := n.reserve("a", tokens); err != nil {
 				break
 			}
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -33,6 +33,8 @@
 	accepted *environment.View
 	log      []*admission
 	periods  []*period
+	// late draws how late an answer over the mesh comes; nil is at once.
+	late func() time.Duration
 }
 
 // node is one instance.
@@ -92,7 +94,7 @@
 	n.view, n.paused, n.dead, n.left = w.accepted, false, false, false
 	n.escrow = quota.New(quota.Config{
 		Environment: "test",
-		Mesh:        n.member,
+		Mesh:        lateMesh{n.member, w},
 		Objects:     w.store,
 		Views:       func() *environment.View { return n.view },
 		Members:     n.members,
@@ -238,8 +240,33 @@
 	return rate, burst
 }
 
-// chance makes a call over the mesh lost, repeated or late with a chance.
+// lateMesh delivers answers late.
+type lateMesh struct {
+	*meshtest.Member
+	world *world
+}
+
+// Call implements mesh.Mesh.
+func (m lateMesh) Call(ctx context.Context, to, method string, body []byte) ([]byte, error) {
+	answer, err := m.Member.Call(ctx, to, method, body)
+	if late := m.world.late; late != nil {
+		m.world.clock.Advance(late())
+	}
+	return answer, err
+}
+
+// chance makes a call over the mesh lost, repeated or late with a
+// chance.
 func (w *world) chance(faulty float64) {
+	w.late = nil
+	if faulty > 0 {
+		w.late = func() time.Duration {
+			if w.random.Float64() >= faulty {
+				return 0
+			}
+			return time.Duration(w.random.IntN(2500)) * time.Millisecond
+		}
+	}
 	w.network.SetFate(func(_, to mesh.Peer, _ string) meshtest.Fate {
 		if w.node(to.Name).paused {
 			return meshtest.LoseRequest
