--- a/test/process/quota_test.go
+++ b/test/process/quota_test.go
@@ -23,6 +23,7 @@
 	It("gets no more than its rate and burst over three instances", func() {
 		p := fleet.Small(network())
 		p.Instances, p.Engines, p.Services = 3, 2, 0
+		p.Engine.TokenIntervalMS = 1
 		p.Accounts = []environment.Account{{Name: "celula", RateTokensPerSecond: rate, BurstTokens: burst}}
 		started := time.Now()
 		c := startCluster(p)
@@ -52,7 +53,7 @@
 		callers.Go(func() {
 			defer GinkgoRecover()
 			for time.Now().Before(until) {
-				status, _ := c.call(n, key, "POST", "/v1/chat/completions", chat("reader", 20, false))
+				status, _ := c.call(n, key, "POST", "/v1/chat/completions", chat("reader", 200, false))
 				mu.Lock()
 				if status == http.StatusTooManyRequests {
 					refused++
