--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -116,9 +116,13 @@
 }
 
 // release ends a hold.
-func (b *bucket) release(h *hold) {
-	b.refundable -= h.refundable
-	h.refundable = 0
+func (b *bucket) release(h *hold) { b.lower(h, 0) }
+
+// lower cuts a hold to what may still come back.
+func (b *bucket) lower(h *hold, refundable float64) {
+	cut := math.Max(0, h.refundable-math.Max(0, refundable))
+	b.refundable -= cut
+	h.refundable -= cut
 	b.clip()
 	if len(b.holds) > minCompacted && b.holds[len(b.holds)/2].refundable == 0 {
 		b.holds = slices.DeleteFunc(b.holds, func(h *hold) bool { return h.refundable == 0 })
--- a/internal/quota/loans.go
+++ b/internal/quota/loans.go
@@ -68,7 +68,7 @@
 		return &loanAnswer{}
 	}
 	a.own.moveOut(part, tokens)
-	a.lent = append(a.lent, &lentLoan{id: r.ID, part: part, tokens: tokens, until: now.Add(lasts)})
+	a.lent = append(a.lent, &lentLoan{id: r.ID, part: part, tokens: tokens, most: part.Burst, until: now.Add(lasts)})
 	sort.SliceStable(a.lent, func(i, j int) bool { return a.lent[i].until.Before(a.lent[j].until) })
 	return &loanAnswer{Part: part, Tokens: tokens, LastsMS: lasts.Milliseconds()}
 }
--- a/internal/quota/returns.go
+++ b/internal/quota/returns.go
@@ -19,9 +19,11 @@
 	// hold is what may come back after the end.
 	hold *hold
 	// returned is the number of tokens that the borrower has given back;
-	// credited is the part of it that is in the lender's bucket.
+	// credited is the part of it that is in the lender's bucket. No more than
+	// most will ever have been given back.
 	returned float64
 	credited float64
+	most     float64
 }
 
 // borrowedLoan is a loan as the borrower keeps it. At its end the bucket
@@ -32,8 +34,10 @@
 	lender string
 	bucket *bucket
 	until  time.Time
-	// told is the level that the lender has confirmed.
-	told float64
+	// told is the newest return that the lender has confirmed.
+	told loanReturn
+	// isTold tells that there is one.
+	isTold bool
 }
 
 // loanReturn gives tokens of an ended loan back. Returned is the sum so far, so
@@ -42,6 +46,9 @@
 	Account  string  `msgpack:"a"`
 	ID       string  `msgpack:"i"`
 	Returned float64 `msgpack:"r"`
+	// Open is the most that may still be added to Returned. The sum of both never
+	// rises.
+	Open float64 `msgpack:"o"`
 }
 
 // endLent takes back the capacity of loans that are over.
@@ -66,6 +73,7 @@
 	more := loan.returned - loan.credited
 	loan.credited = loan.returned
 	a.own.refund(loan.hold, more)
+	a.own.lower(loan.hold, loan.most-loan.credited)
 }
 
 // freeze ends borrowed loans.
@@ -78,18 +86,23 @@
 		a.frozen = append(a.frozen, loan)
 	}
 	a.frozen = slices.DeleteFunc(a.frozen, func(l *borrowedLoan) bool {
-		isDone := l.bucket.refundable <= tokenEpsilon && l.told >= l.bucket.level
+		isDone := l.bucket.refundable <= tokenEpsilon && l.isTold && l.told == l.state(l.told.Account)
 		return isDone || now.Sub(l.until) > returnWindow
 	})
 }
 
+// state is what the lender is to know of an ended loan.
+func (l *borrowedLoan) state(account string) loanReturn {
+	return loanReturn{Account: account, ID: l.id, Returned: max(0, l.bucket.level), Open: l.bucket.refundable}
+}
+
 // Returns lists by lender the returns that lenders have not confirmed.
 func (l *Ledger) Returns(now time.Time) map[string][]loanReturn {
 	out := make(map[string][]loanReturn)
 	for name := range l.accounts {
 		for _, loan := range l.account(now, name).frozen {
-			if loan.bucket.level > loan.told {
-				out[loan.lender] = append(out[loan.lender], loanReturn{Account: name, ID: loan.id, Returned: loan.bucket.level})
+			if state := loan.state(name); !loan.isTold || loan.told != state {
+				out[loan.lender] = append(out[loan.lender], state)
 			}
 		}
 	}
@@ -101,7 +114,7 @@
 	for _, r := range returns {
 		for _, loan := range l.account(now, r.Account).frozen {
 			if loan.id == r.ID {
-				loan.told = max(loan.told, r.Returned)
+				loan.told, loan.isTold = r, true
 			}
 		}
 	}
@@ -128,5 +141,6 @@
 		return false
 	}
 	l.returned = max(l.returned, math.Min(r.Returned, l.part.Burst))
+	l.most = math.Min(l.most, r.Returned+r.Open)
 	return true
 }
