--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -159,6 +159,32 @@
 				Expect(sent[len(sent)-1].FencingToken).To(BeNumerically(">", token))
 			})
 
+			It("waits after a takeover for the longest delay of an order where fencing is not checked", func() {
+				orderer(w, 0).Dead = true
+				w.AddMove(unload("e0", "a"))
+				w.Run(6 * time.Second)
+				if fencing {
+					Expect(engine.Witness().Orders).NotTo(BeEmpty())
+				} else {
+					Expect(engine.Witness().Orders).To(BeEmpty())
+				}
+				w.Run(takeoverBound - 6*time.Second)
+				Expect(engine.Witness().Orders).NotTo(BeEmpty())
+			})
+
+			It("passes to another zone when its own is cut off from the platform", func() {
+				cut := orderer(w, 0)
+				w.AddInstance("far", "z2")
+				w.Run(time.Second)
+				w.Store.SetFaults(platformstandin.Faults{CutZones: []string{"z1"}})
+				w.Run(takeoverBound)
+				_, err := cut.Leases.Held(orders.GroupOf(&w.State.Document.Targets[0]), 0)
+				Expect(err).To(HaveOccurred())
+				swap()
+				w.Run(30 * time.Second)
+				expectNoOvercommit(w)
+			})
+
 			It("does not order from an orderer that wakes past its lease", func() {
 				old := orderer(w, 0)
 				old.Paused = true
--- a/internal/orders/orderstest/world.go
+++ b/internal/orders/orderstest/world.go
@@ -183,6 +183,7 @@
 	}
 	w.ticking[i] = true
 	defer delete(w.ticking, i)
+	ctx = platformstandin.WithZone(ctx, i.Zone)
 	i.Inventory.Poll(ctx)
 	i.Leases.Tick(ctx)
 	if i.extra != nil {
