--- a/internal/environment/document.go
+++ b/internal/environment/document.go
@@ -164,4 +164,13 @@
 	// TrialID names the trial that the document in force was promoted from.
 	TrialID string `json:"trial_id,omitempty"`
 	Change  Change `json:"change"`
+	// RecentChanges lists the newest changes, this one included, oldest first.
+	RecentChanges []RecentChange `json:"recent_changes,omitempty"`
+}
+
+// RecentChange lets the writer of a change whose answer was lost find it after
+// later changes replaced it.
+type RecentChange struct {
+	Nonce    string `json:"nonce"`
+	Revision uint64 `json:"revision"`
 }
