Retired models are unloaded, last copy included, once two views agree

Need: the orderers' last-copy check kept models that no document names, and a planner with an old view could have asked for a new model's unload.

Change: the planner waits 30 s without the name; the orderer leaves the check out only if its own view does not name the resource either.

--- a/internal/orders/orderer.go
+++ b/internal/orders/orderer.go
@@ -187,7 +187,7 @@
 	}
 	moves := o.movesOf(t.Target.Name)
 	step := work.ledger.Next(now, &t.Report, moves)
-	if step.Order != nil && !step.Move.IsLoad() && !o.hasOtherCopy(ctx, snapshot, t, step.Move.Resource) {
+	if step.Order != nil && !step.Move.IsLoad() && isDeclared(snapshot.View, step.Move.Resource) && !o.hasOtherCopy(ctx, snapshot, t, step.Move.Resource) {
 		if step.Retry {
 			return
 		}
@@ -358,6 +358,12 @@
 	return false
 }
 
+// isDeclared reports whether the document names the resource.
+func isDeclared(view *environment.View, k Resource) bool {
+	model, _ := view.Resolve(k.Served())
+	return model != nil && model.Name == k.Model
+}
+
 func (o *Orderer) isUnloadPlanned(t *inventory.TargetState, k Resource) bool {
 	for i := range o.plan.Moves {
 		m := &o.plan.Moves[i]
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -138,7 +138,7 @@
 		return false
 	}
 	if !b.known[k] {
-		return true
+		return h.Retired
 	}
 	left := b.inService(k, Sure)
 	if !b.targets[t].Out {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -47,7 +47,10 @@
 	// have been seen under load.
 	slotsPerTokenRate = 0.02
 	slotsWeight       = 0.05
-	unlimited         = 1 << 20
+	// retireAfter is how long the document must not have named a resource before
+	// it is unloaded; the view of a new planner may be a few seconds old.
+	retireAfter = 30 * time.Second
+	unlimited   = 1 << 20
 )
 
 // Leases tells whether the instance plans, and who does otherwise.
@@ -98,6 +101,7 @@
 	issued    map[uint64]time.Time
 	series    map[string]*Series
 	used      map[string]time.Time
+	declared  map[orders.Resource]time.Time
 	stepAt    time.Time
 	slots     float64
 	tokens    float64
@@ -188,7 +192,7 @@
 	p.term = &term{
 		plan: plan, version: object.Version, startedAt: now, tokensAt: now, slots: slotsPerTokenRate,
 		records: make(map[string]versioned), seen: make(map[string]*sighting), issued: make(map[uint64]time.Time),
-		series: make(map[string]*Series), used: make(map[string]time.Time),
+		series: make(map[string]*Series), used: make(map[string]time.Time), declared: make(map[orders.Resource]time.Time),
 	}
 	for _, m := range plan.Moves {
 		p.term.issued[m.Seq] = now
@@ -322,6 +326,7 @@
 		record := p.term.records[ts.Target.Name].record
 		state.Targets = append(state.Targets, observeTarget(snapshot.View, ts, &record, pending, isFresh, seen, now))
 	}
+	p.term.observeDocument(&state, now)
 	p.term.observeDemand(&state, p.collected, snapshot, now)
 	if !p.term.mayDecide(fresh, all, now) || now.Sub(p.term.decidedAt) < decideEvery {
 		return nil
@@ -331,6 +336,23 @@
 	return p.cfg.Policy.Plan(&state)
 }
 
+// observeDocument marks what the document has not named for a while.
+func (t *term) observeDocument(state *State, now time.Time) {
+	for i := range state.Models {
+		t.declared[orders.Resource{Model: state.Models[i].Name}] = now
+	}
+	for i := range state.Adapters {
+		a := &state.Adapters[i]
+		t.declared[orders.Resource{Model: a.Model, Adapter: a.Name}] = now
+	}
+	for i := range state.Targets {
+		for n := range state.Targets[i].Holdings {
+			h := &state.Targets[i].Holdings[n]
+			h.Retired = now.Sub(maxTime(t.declared[h.Resource], t.startedAt)) >= retireAfter
+		}
+	}
+}
+
 func (t *term) sighting(name string) *sighting {
 	s := t.seen[name]
 	if s == nil {
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -207,6 +207,17 @@
 		f.expectAllHeld()
 	})
 
+	It("unloads what the document no longer names, but not at once", func() {
+		f := newFleet(6, 0, 6)
+		f.Run(20 * time.Second)
+		f.State.Document.Models = f.State.Document.Models[1:]
+		f.Run(retireAfter - 5*time.Second)
+		Expect(f.copies("m0", "")).To(BeNumerically(">=", 1))
+		f.Run(time.Minute)
+		Expect(f.copies("m0", "")).To(BeZero())
+		f.expectAllHeld()
+	})
+
 	It("unloads nothing for a model that no engine can hold", func() {
 		f := newFleet(6, 0, 6)
 		f.State.Document.Models = append(f.State.Document.Models, environment.Model{Name: "huge", MemoryMB: 1000})
--- a/internal/placement/reach.go
+++ b/internal/placement/reach.go
@@ -31,7 +31,7 @@
 func (b *board) retire() {
 	for t := range b.targets {
 		for _, h := range slices.Clone(b.targets[t].Holdings) {
-			if !b.known[h.Resource] {
+			if !b.known[h.Resource] && h.Retired {
 				b.unload(t, h.Resource, ReasonRetired)
 			}
 		}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -36,6 +36,8 @@
 	State    HoldingState
 	// Since is when the planner first saw the copy; zero if unknown.
 	Since time.Time
+	// Retired is set once the document has not named the resource for a while.
+	Retired bool
 	// LastUsed is when calls last asked for it; zero if unknown.
 	LastUsed time.Time
 }
