--- a/internal/environment/document.go
+++ b/internal/environment/document.go
@@ -36,6 +36,9 @@
 // Zone is an availability zone.
 type Zone struct {
 	Name string `json:"name"`
+	// LeavingSoon announces that the zone will be taken out: its targets go on
+	// serving while what they hold is made ready elsewhere.
+	LeavingSoon bool `json:"leaving_soon,omitempty"`
 }
 
 // Account is a client account.
@@ -94,6 +97,8 @@
 	// MaxOrderDelayMS is the longest time in milliseconds between sending an
 	// order and its effect.
 	MaxOrderDelayMS int `json:"max_order_delay_ms,omitempty"`
+	// LeavingSoon announces that the target will be taken out, as for a zone.
+	LeavingSoon bool `json:"leaving_soon,omitempty"`
 }
 
 // Service is a plain service reached under /services/NAME/.
--- a/internal/environment/view.go
+++ b/internal/environment/view.go
@@ -93,6 +93,20 @@
 // its availability zone.
 func (v *View) IsTargetOut(t *Target) bool { return v.leaving[t.Name] || v.out[t.Zone] }
 
+// IsTargetLeavingSoon reports whether it is announced that the target, by itself
+// or with its availability zone, will be taken out.
+func (v *View) IsTargetLeavingSoon(t *Target) bool {
+	if t.LeavingSoon {
+		return true
+	}
+	for i := range v.State.Document.Zones {
+		if z := &v.State.Document.Zones[i]; z.Name == t.Zone {
+			return z.LeavingSoon
+		}
+	}
+	return false
+}
+
 // OpenRoute returns the open route that the request matches, or nil.
 func (v *View) OpenRoute(method, path string) *OpenRoute {
 	for i := range v.State.Document.OpenRoutes {
--- a/internal/orders/orderer.go
+++ b/internal/orders/orderer.go
@@ -340,7 +340,8 @@
 	defer cancel()
 	now := o.cfg.Clock.Now()
 	for _, t := range snapshot.Serving(k.Served()) {
-		if t == except || snapshot.View.IsTargetOut(t.Target) || !o.reports.IsFresh(t, now) || o.isUnloadPlanned(t, k) {
+		isOut := snapshot.View.IsTargetOut(t.Target) || snapshot.View.IsTargetLeavingSoon(t.Target)
+		if t == except || isOut || !o.reports.IsFresh(t, now) || o.isUnloadPlanned(t, k) {
 			continue
 		}
 		object, err := o.cfg.Objects.Get(ctx, RecordPrefix(o.cfg.Environment)+t.Target.Name)
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -24,7 +24,7 @@
 func observeTarget(view *environment.View, t *inventory.TargetState, record *orders.Record, pending []orders.Move, fresh bool, seen *sighting, now time.Time) Target {
 	out := Target{
 		Name: t.Target.Name, Zone: t.Target.Zone, MemoryMB: t.Target.MemoryMB, Concurrency: t.Target.Concurrency,
-		Out: view.IsTargetOut(t.Target), Fresh: fresh, FreeMB: t.Target.MemoryMB - record.ChargedMB(&t.Report),
+		Out: view.IsTargetOut(t.Target) || view.IsTargetLeavingSoon(t.Target), Fresh: fresh, FreeMB: t.Target.MemoryMB - record.ChargedMB(&t.Report),
 	}
 	if !fresh && now.Sub(seen.lastFresh) >= doubtFor {
 		return out
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -150,6 +150,21 @@
 		Expect(f.loads()).To(Equal(before))
 	})
 
+	It("makes copies ready before a planned leave, while the zone serves on", func() {
+		f := newFleet(6, 0, 6)
+		f.Run(20 * time.Second)
+		f.State.Document.Zones = []environment.Zone{{Name: "z0", LeavingSoon: true}, {Name: "z1"}, {Name: "z2"}}
+		f.Run(2 * time.Minute)
+		for _, m := range f.State.Document.Models {
+			Expect(f.Engines[1].Holds(m.Name, "") || f.Engines[2].Holds(m.Name, "")).To(BeTrue(), m.Name)
+		}
+		Expect(f.Engines[0].Holds("m0", "")).To(BeTrue())
+		before := f.loads()
+		f.State.ZonesOut = []string{"z0"}
+		f.Run(30 * time.Second)
+		Expect(f.loads()).To(Equal(before))
+	})
+
 	It("replaces the copies of an engine that died", func() {
 		f := newFleet(4, 0, 4)
 		f.Run(20 * time.Second)
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -50,7 +50,7 @@
 	Concurrency int
 	// FreeMB is the memory that nothing is charged for, moves under way included.
 	FreeMB int64
-	// Out is set for targets that get no new work.
+	// Out is set for targets that get no new work, or soon will get none.
 	Out bool
 	// Fresh is set while reports arrive; only then moves are decided for it.
 	Fresh    bool
