The planner decides each second while it moves; tests in which second copies do not help

Need: one decision in 3 s with a bucket of one load used a quarter of the weight store. Two tests passed because second copies stood already.

Seen failing with the mechanism off, on a scratch copy: notice of a leave, weight store's loads at once, room kept for missing models, dead targets.

Conclusion: each of these now has a test that fails without it.

--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -30,7 +30,7 @@
 	// fullReadEvery is the time between full reads of the orderers' records; in
 	// between only changed records are read.
 	fullReadEvery = 30 * time.Second
-	// decideEvery is the time between two decisions.
+	// decideEvery is the time to the next decision after one without moves.
 	decideEvery  = 3 * time.Second
 	storeTimeout = time.Second
 	// planGuard is how long the lease must still stand when a plan is written.
@@ -96,7 +96,7 @@
 	records   map[string]versioned
 	readTo    platform.Version
 	fullAt    time.Time
-	decidedAt time.Time
+	idleAt    time.Time
 	seen      map[string]*sighting
 	issued    map[uint64]time.Time
 	series    map[string]*Series
@@ -328,12 +328,15 @@
 	}
 	p.term.observeDocument(&state, now)
 	p.term.observeDemand(&state, p.collected, snapshot, now)
-	if !p.term.mayDecide(fresh, all, now) || now.Sub(p.term.decidedAt) < decideEvery {
+	if !p.term.mayDecide(fresh, all, now) || now.Sub(p.term.idleAt) < decideEvery {
 		return nil
 	}
-	p.term.decidedAt = now
 	state.Budget = p.term.budget(&snapshot.View.State.Document.WeightStore, pending, state.Targets, now)
-	return p.cfg.Policy.Plan(&state)
+	moves := p.cfg.Policy.Plan(&state)
+	if len(moves) == 0 {
+		p.term.idleAt = now
+	}
+	return moves
 }
 
 // observeDocument marks what the document has not named for a while.
@@ -383,7 +386,7 @@
 // budget returns what the weight store allows to begin now. Every load that is
 // not known to have ended counts.
 func (t *term) budget(w *environment.WeightStore, pending []orders.Move, targets []Target, now time.Time) Budget {
-	t.tokens = min(max(1, w.LoadsPerSecond), t.tokens+w.LoadsPerSecond*now.Sub(t.tokensAt).Seconds())
+	t.tokens = min(w.LoadsPerSecond+1, t.tokens+w.LoadsPerSecond*now.Sub(t.tokensAt).Seconds())
 	t.tokensAt = now
 	fresh := make(map[string]bool, len(targets))
 	for i := range targets {
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -50,7 +50,7 @@
 	f.World = orderstest.New(d)
 	for n := range 3 {
 		cfg := enginestandin.DefaultConfig(fmt.Sprintf("e%d", n))
-		cfg.MemoryMB, cfg.LoadMS, cfg.ChecksFencing = testEngineMB, 3000, n != 1
+		cfg.MemoryMB, cfg.LoadMS, cfg.ChecksFencing = testEngineMB, 5000, n != 1
 		for m := n; m < resident; m += 3 {
 			cfg.Residents = append(cfg.Residents, target.Resident{Model: d.Models[m].Name, MemoryMB: testModelMB})
 		}
@@ -139,10 +139,10 @@
 	It("loads elsewhere what a zone taken out held, and loads nothing when it returns", func() {
 		f := newFleet(6, 0, 6)
 		f.Run(20 * time.Second)
-		f.State.ZonesOut = []string{"z0"}
+		f.State.ZonesOut = []string{"z2"}
 		f.Run(2 * time.Minute)
 		for _, m := range f.State.Document.Models {
-			Expect(f.Engines[1].Holds(m.Name, "") || f.Engines[2].Holds(m.Name, "")).To(BeTrue(), m.Name)
+			Expect(f.Engines[0].Holds(m.Name, "") || f.Engines[1].Holds(m.Name, "")).To(BeTrue(), m.Name)
 		}
 		before := f.loads()
 		f.State.ZonesOut = nil
@@ -153,25 +153,26 @@
 	It("makes copies ready before a planned leave, while the zone serves on", func() {
 		f := newFleet(6, 0, 6)
 		f.Run(20 * time.Second)
-		f.State.Document.Zones = []environment.Zone{{Name: "z0", LeavingSoon: true}, {Name: "z1"}, {Name: "z2"}}
+		f.State.Document.Zones = []environment.Zone{{Name: "z0"}, {Name: "z1"}, {Name: "z2", LeavingSoon: true}}
 		f.Run(2 * time.Minute)
 		for _, m := range f.State.Document.Models {
-			Expect(f.Engines[1].Holds(m.Name, "") || f.Engines[2].Holds(m.Name, "")).To(BeTrue(), m.Name)
+			Expect(f.Engines[0].Holds(m.Name, "") || f.Engines[1].Holds(m.Name, "")).To(BeTrue(), m.Name)
 		}
-		Expect(f.Engines[0].Holds("m0", "")).To(BeTrue())
+		Expect(f.Engines[2].Holds("m2", "")).To(BeTrue())
 		before := f.loads()
-		f.State.ZonesOut = []string{"z0"}
+		f.State.ZonesOut = []string{"z2"}
 		f.Run(30 * time.Second)
 		Expect(f.loads()).To(Equal(before))
 	})
 
 	It("replaces the copies of an engine that died", func() {
-		f := newFleet(4, 0, 4)
+		f := newFleet(6, 0, 6)
 		f.Run(20 * time.Second)
-		f.Engines[0].SetFaults(enginestandin.Faults{Down: true})
+		Expect(f.copies("m2", "") + f.copies("m5", "")).To(Equal(2))
+		f.Engines[2].SetFaults(enginestandin.Faults{Down: true})
 		f.Run(time.Minute)
-		for _, m := range []string{"m0", "m3"} {
-			Expect(f.Engines[1].Holds(m, "") || f.Engines[2].Holds(m, "")).To(BeTrue(), m)
+		for _, m := range []string{"m2", "m5"} {
+			Expect(f.Engines[0].Holds(m, "") || f.Engines[1].Holds(m, "")).To(BeTrue(), m)
 		}
 	})
 
