--- a/internal/admission/picker.go
+++ b/internal/admission/picker.go
@@ -112,10 +112,8 @@
 		return nil, err
 	}
 	f.queue.Started(request)
-	return routing.NewSlot(slot.Target, func(outcome routing.Outcome) {
-		slot.Done(outcome)
-		f.finished(request, now, outcome)
-	}), nil
+	slot.OnDone(func(outcome routing.Outcome) { f.finished(request, now, outcome) })
+	return slot, nil
 }
 
 func (f *Fair) finished(request *routing.Request, started time.Time, outcome routing.Outcome) {
