--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -30,7 +30,7 @@
 	// fullReadEvery is the time between full reads of the orderers' records; in
 	// between only changed records are read.
 	fullReadEvery = 30 * time.Second
-	// decideEvery is the time between two decisions.
+	// decideEvery is the time to the next decision after one without moves.
 	decideEvery  = 3 * time.Second
 	storeTimeout = time.Second
 	// planGuard is how long the lease must still stand when a plan is written.
@@ -47,7 +47,10 @@
 	// have been seen under load.
 	slotsPerTokenRate = 0.02
 	slotsWeight       = 0.05
-	unlimited         = 1 << 20
+	// retireAfter is how long the document must not have named a resource before
+	// it is unloaded; the view of a new planner may be a few seconds old.
+	retireAfter = 30 * time.Second
+	unlimited   = 1 << 20
 )
 
 // Leases tells whether the instance plans, and who does otherwise.
@@ -93,11 +96,12 @@
 	records   map[string]versioned
 	readTo    platform.Version
 	fullAt    time.Time
-	decidedAt time.Time
+	idleAt    time.Time
 	seen      map[string]*sighting
 	issued    map[uint64]time.Time
 	series    map[string]*Series
 	used      map[string]time.Time
+	declared  map[orders.Resource]time.Time
 	stepAt    time.Time
 	slots     float64
 	tokens    float64
@@ -188,7 +192,7 @@
 	p.term = &term{
 		plan: plan, version: object.Version, startedAt: now, tokensAt: now, slots: slotsPerTokenRate,
 		records: make(map[string]versioned), seen: make(map[string]*sighting), issued: make(map[uint64]time.Time),
-		series: make(map[string]*Series), used: make(map[string]time.Time),
+		series: make(map[string]*Series), used: make(map[string]time.Time), declared: make(map[orders.Resource]time.Time),
 	}
 	for _, m := range plan.Moves {
 		p.term.issued[m.Seq] = now
@@ -235,8 +239,9 @@
 	}
 	t := p.term
 	next := t.plan
+	view := p.cfg.Snapshot().View
 	next.Moves = slices.DeleteFunc(slices.Clone(next.Moves), func(m orders.Move) bool {
-		return t.records[m.Target].record.DoneThrough >= m.Seq
+		return t.records[m.Target].record.DoneThrough >= m.Seq || view.Target(m.Target) == nil
 	})
 	moves := p.decide(next.Moves)
 	for _, m := range moves {
@@ -321,13 +326,34 @@
 		record := p.term.records[ts.Target.Name].record
 		state.Targets = append(state.Targets, observeTarget(snapshot.View, ts, &record, pending, isFresh, seen, now))
 	}
+	p.term.observeDocument(&state, now)
 	p.term.observeDemand(&state, p.collected, snapshot, now)
-	if !p.term.mayDecide(fresh, all, now) || now.Sub(p.term.decidedAt) < decideEvery {
+	if !p.term.mayDecide(fresh, all, now) || now.Sub(p.term.idleAt) < decideEvery {
 		return nil
 	}
-	p.term.decidedAt = now
 	state.Budget = p.term.budget(&snapshot.View.State.Document.WeightStore, pending, state.Targets, now)
-	return p.cfg.Policy.Plan(&state)
+	moves := p.cfg.Policy.Plan(&state)
+	if len(moves) == 0 {
+		p.term.idleAt = now
+	}
+	return moves
+}
+
+// observeDocument marks what the document has not named for a while.
+func (t *term) observeDocument(state *State, now time.Time) {
+	for i := range state.Models {
+		t.declared[orders.Resource{Model: state.Models[i].Name}] = now
+	}
+	for i := range state.Adapters {
+		a := &state.Adapters[i]
+		t.declared[orders.Resource{Model: a.Model, Adapter: a.Name}] = now
+	}
+	for i := range state.Targets {
+		for n := range state.Targets[i].Holdings {
+			h := &state.Targets[i].Holdings[n]
+			h.Retired = now.Sub(maxTime(t.declared[h.Resource], t.startedAt)) >= retireAfter
+		}
+	}
 }
 
 func (t *term) sighting(name string) *sighting {
@@ -360,7 +386,7 @@
 // budget returns what the weight store allows to begin now. Every load that is
 // not known to have ended counts.
 func (t *term) budget(w *environment.WeightStore, pending []orders.Move, targets []Target, now time.Time) Budget {
-	t.tokens = min(max(1, w.LoadsPerSecond), t.tokens+w.LoadsPerSecond*now.Sub(t.tokensAt).Seconds())
+	t.tokens = min(w.LoadsPerSecond+1, t.tokens+w.LoadsPerSecond*now.Sub(t.tokensAt).Seconds())
 	t.tokensAt = now
 	fresh := make(map[string]bool, len(targets))
 	for i := range targets {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -36,6 +36,8 @@
 	State    HoldingState
 	// Since is when the planner first saw the copy; zero if unknown.
 	Since time.Time
+	// Retired is set once the document has not named the resource for a while.
+	Retired bool
 	// LastUsed is when calls last asked for it; zero if unknown.
 	LastUsed time.Time
 }
@@ -48,7 +50,7 @@
 	Concurrency int
 	// FreeMB is the memory that nothing is charged for, moves under way included.
 	FreeMB int64
-	// Out is set for targets that get no new work.
+	// Out is set for targets that get no new work, or soon will get none.
 	Out bool
 	// Fresh is set while reports arrive; only then moves are decided for it.
 	Fresh    bool
