Routing leaves out a target that lost the model; ramps survive the grantor

An engine that refuses a call for want of the model was counted as failing, so three such refusals after an unload made a warm engine cold at once. A new grantor took ramping targets for warm; it now starts those that the earlier one did not call warm with the ramp. Seen failing without: one spec each.

--- a/internal/coldstart/grantor.go
+++ b/internal/coldstart/grantor.go
@@ -22,8 +22,11 @@
 	version uint64
 	// quietUntil is the time until which leases of an earlier grantor may live.
 	quietUntil time.Time
-	targets    map[string]*ledger
-	holders    map[string]*holderRecord
+	// wasWarm lists the targets that an earlier grantor called warm; nil if no
+	// earlier one is known.
+	wasWarm map[string]bool
+	targets map[string]*ledger
+	holders map[string]*holderRecord
 	// cooled lists targets that left the warm ones since the last call of Cooled.
 	cooled []string
 }
@@ -61,11 +64,14 @@
 	return max(h.entries[target].InFlight, h.grants[target])
 }
 
-// NewGrantor returns a grantor that knows nothing of earlier leases.
-func NewGrantor(epoch uint64, now time.Time) *Grantor {
+// NewGrantor returns a grantor that knows nothing of earlier leases. Targets that
+// an earlier grantor did not call warm start with the ramp; wasWarm is nil if no
+// earlier grantor is known.
+func NewGrantor(epoch uint64, wasWarm map[string]bool, now time.Time) *Grantor {
 	return &Grantor{
 		epoch:      epoch,
 		quietUntil: now.Add(WarmTTL),
+		wasWarm:    wasWarm,
 		targets:    make(map[string]*ledger),
 		holders:    make(map[string]*holderRecord),
 	}
@@ -111,6 +117,9 @@
 		}
 		g.version++
 		l = &ledger{lostUnknown: true, evidenceFrom: from.Add(ReportLag), coldVersion: g.version}
+		if g.wasWarm != nil && !g.wasWarm[o.Target] {
+			l.verdict.cool()
+		}
 		g.targets[o.Target] = l
 	}
 	l.observation = o
--- a/internal/coldstart/holder.go
+++ b/internal/coldstart/holder.go
@@ -1,6 +1,9 @@
 package coldstart
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Holder keeps the leases of one instance and counts its calls. It is a state
 // machine without locks or clock.
@@ -87,6 +90,16 @@
 	return t == nil || !t.suspect
 }
 
+// WarmTargets returns a copy of the zone's last list of warm targets, or nil if
+// the holder never had one.
+func (h *Holder) WarmTargets(zone string) map[string]bool {
+	z := h.zones[zone]
+	if z == nil {
+		return nil
+	}
+	return maps.Clone(z.warm)
+}
+
 // CanAcquire reports whether a call may start now.
 func (h *Holder) CanAcquire(target, zone string, now time.Time) bool {
 	if h.IsWarm(target, zone, now) {
--- a/internal/coldstart/machine_test.go
+++ b/internal/coldstart/machine_test.go
@@ -27,7 +27,7 @@
 
 	// ready returns a grantor past the leases of earlier ones.
 	ready := func(targets func(time.Time) []coldstart.Observation) (*coldstart.Grantor, time.Time) {
-		g := coldstart.NewGrantor(1, start)
+		g := coldstart.NewGrantor(1, nil, start)
 		g.Observe(targets(start), start)
 		now := start.Add(settle)
 		g.Observe(targets(now), now)
@@ -44,7 +44,7 @@
 	}
 
 	It("lends nothing while leases of an earlier grantor may live", func() {
-		g := coldstart.NewGrantor(1, start)
+		g := coldstart.NewGrantor(1, nil, start)
 		for age := time.Duration(0); age < coldstart.WarmTTL+coldstart.ReportLag; age += 100 * time.Millisecond {
 			now := start.Add(age)
 			g.Observe(cold(now), now)
--- a/internal/coldstart/service.go
+++ b/internal/coldstart/service.go
@@ -229,7 +229,7 @@
 func (s *Service) grant(zone string, targets []Observation, members []membership.Member, now time.Time) []Finding {
 	g := s.grantors[zone]
 	if g == nil {
-		g = NewGrantor(s.cfg.Draw(), now)
+		g = NewGrantor(s.cfg.Draw(), s.holder.WarmTargets(zone), now)
 		s.grantors[zone] = g
 		s.cfg.Log.Infof("Grantor of zone %s from now on.", zone)
 	}
--- a/internal/coldstart/service_test.go
+++ b/internal/coldstart/service_test.go
@@ -112,6 +112,17 @@
 		Expect(w.engine.calls).To(HaveLen(coldBound))
 	})
 
+	It("goes on with a ramp under the next grantor", func() {
+		w.beginCold()
+		w.run(settle)
+		w.engine.cold = false
+		w.run(2 * time.Second)
+		w.crash(w.nodes[0])
+		w.run(settle)
+		w.fill(2 * time.Second)
+		Expect(len(w.engine.calls)).To(Equal(coldBound))
+	})
+
 	It("counts the call of a dead holder until reports show its end", func() {
 		w.beginCold()
 		w.run(settle)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
@@ -207,12 +208,21 @@
 		return routing.Completed
 	case ctx.Err() != nil:
 		return routing.Cancelled
+	case isNotResident(err):
+		return routing.NotResident
 	case errors.Is(err, target.ErrRejected):
 		return routing.Rejected
 	}
 	return routing.Failed
 }
 
+// isNotResident reports whether the engine refused the call for want of the
+// model.
+func isNotResident(err error) bool {
+	var rejected *target.RejectedError
+	return errors.As(err, &rejected) && rejected.Status == http.StatusNotFound
+}
+
 func priority(class routing.Class) int {
 	if class == routing.ClassBatch {
 		return 0
--- a/internal/routing/breaker.go
+++ b/internal/routing/breaker.go
@@ -53,7 +53,7 @@
 	switch outcome {
 	case Completed:
 		*b = breaker{}
-	case Cancelled:
+	case Cancelled, NotResident:
 		b.probing = false
 	default:
 		b.failures++
--- a/internal/routing/metrics.go
+++ b/internal/routing/metrics.go
@@ -5,7 +5,7 @@
 // Metrics of routing. A nil value measures nothing.
 type Metrics struct {
 	near, far, noCapacity, noTarget prometheus.Counter
-	outcomes                        [Cancelled + 1]prometheus.Counter
+	outcomes                        [NotResident + 1]prometheus.Counter
 	suspects                        prometheus.Counter
 }
 
@@ -29,7 +29,7 @@
 			Help: "Targets that failed several calls in a row.",
 		}),
 	}
-	for outcome, name := range []string{"completed", "failed", "rejected", "cancelled"} {
+	for outcome, name := range []string{"completed", "failed", "rejected", "cancelled", "not_resident"} {
 		m.outcomes[outcome] = outcomes.WithLabelValues(name)
 	}
 	registerer.MustRegister(decisions, outcomes, m.suspects)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -118,7 +118,7 @@
 	c.load.breaker.started(now)
 	r.mu.Unlock()
 	r.metrics.picked(c.far)
-	return &Slot{Target: c.state.Target, router: r, load: c.load, startedAt: now}, nil
+	return &Slot{Target: c.state.Target, router: r, load: c.load, key: keyOfRequest(&request), startedAt: now}, nil
 }
 
 func (r *Router) refusal(full bool) error {
@@ -138,10 +138,7 @@
 		r.revision = revision
 		clear(r.groups)
 	}
-	key := groupKey{name: request.Served}
-	if request.Service != "" {
-		key = groupKey{name: request.Service, isService: true}
-	}
+	key := keyOfRequest(request)
 	g := r.groups[key]
 	if g == nil || g.snapshot != snapshot {
 		g = r.newGroup(snapshot, key)
@@ -150,6 +147,25 @@
 	return g
 }
 
+func keyOfRequest(request *Request) groupKey {
+	if request.Service != "" {
+		return groupKey{name: request.Service, isService: true}
+	}
+	return groupKey{name: request.Served}
+}
+
+// drop leaves a target out of a group until the next snapshot. It requires r.mu.
+func (r *Router) drop(key groupKey, l *load) {
+	g := r.groups[key]
+	if g == nil {
+		return
+	}
+	isDropped := func(c candidate) bool { return c.load == l }
+	g.near = slices.DeleteFunc(g.near, isDropped)
+	g.far = slices.DeleteFunc(g.far, isDropped)
+	delete(g.byID, l.id)
+}
+
 func (r *Router) newGroup(snapshot *inventory.Snapshot, key groupKey) *group {
 	states := snapshot.Serving(key.name)
 	if key.isService {
@@ -318,7 +334,10 @@
 	s.load.inFlight--
 	s.load.net--
 	s.load.breaker.note(outcome, now, func() bool { return r.mayEject(s.Target) })
-	isSuspect := isEngine && s.load.breaker.failures == openAfter
+	if outcome == NotResident {
+		r.drop(s.key, s.load)
+	}
+	isSuspect := isEngine && isFailure(outcome) && s.load.breaker.failures == openAfter
 	r.mu.Unlock()
 	r.metrics.ended(outcome, isSuspect)
 	if r.gate != nil && isEngine {
@@ -330,6 +349,8 @@
 	r.Freed()
 }
 
+func isFailure(outcome Outcome) bool { return outcome == Failed || outcome == Rejected }
+
 func (r *Router) noteFirstToken(s *Slot) {
 	d := r.clock.Since(s.startedAt)
 	r.mu.Lock()
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -272,6 +272,25 @@
 		Expect(g.suspects).To(HaveLen(2))
 	})
 
+	It("leaves out a target that lost the model, for that model alone", func() {
+		b := newBoard(2)
+		b.states[0].Report.Residents = append(b.states[0].Report.Residents, target.Resident{Model: "planner", State: target.ResidencyReady})
+		b.publish()
+		g := &fakeGate{permits: map[string]int{}, wished: make(map[string]int)}
+		r := b.router(routing.WithGate(g))
+		for range 4 {
+			slot := pick(r, reader)
+			if slot.Target.Name == "e0" {
+				slot.Done(routing.NotResident)
+			}
+		}
+		Expect(pick(r, reader).Target.Name).To(Equal("e1"))
+		Expect(pick(r, routing.Request{Served: "planner"}).Target.Name).To(Equal("e0"))
+		Expect(g.suspects).To(BeEmpty())
+		b.publish()
+		Expect(pick(r, reader).Target.Name).To(Equal("e0"))
+	})
+
 	It("tells when a slot is freed, without locks held", func() {
 		b := newBoard(1)
 		r := b.router()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -55,6 +55,8 @@
 	Rejected
 	// Cancelled means that the caller left or gave the call up.
 	Cancelled
+	// NotResident means that the target does not hold the model any more.
+	NotResident
 )
 
 // Slot is a place for one call on a target. Done is called exactly once.
@@ -64,6 +66,7 @@
 	done       func(Outcome)
 	router     *Router
 	load       *load
+	key        groupKey
 	startedAt  time.Time
 	firstToken bool
 }
