--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,8 +6,8 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
