--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -64,6 +64,7 @@
 	Target *environment.Target
 
 	done       func(Outcome)
+	inner      *Slot
 	router     *Router
 	load       *load
 	key        groupKey
@@ -76,6 +77,12 @@
 	return &Slot{Target: t, done: done}
 }
 
+// WrapSlot returns a slot that stands for inner and hands the outcome of its call
+// to done, which has to end inner.
+func WrapSlot(inner *Slot, done func(Outcome)) *Slot {
+	return &Slot{Target: inner.Target, inner: inner, done: done}
+}
+
 // Done frees the slot.
 func (s *Slot) Done(outcome Outcome) {
 	if s.done != nil {
@@ -88,6 +95,9 @@
 // FirstToken tells that the first token of the answer came. Later calls have no
 // effect.
 func (s *Slot) FirstToken() {
+	if s.inner != nil {
+		s.inner.FirstToken()
+	}
 	if s.router == nil || s.firstToken {
 		return
 	}
