--- a/internal/environment/change.go
+++ b/internal/environment/change.go
@@ -89,7 +89,7 @@
 	}
 	next.Revision = current.Revision + 1
 	next.Change = change
-	next.remember(RecentChange{Nonce: change.Nonce, Revision: next.Revision})
+	next.remember(RecentChange{Revision: next.Revision, Change: change})
 	asked := s.clock.Now()
 	accepted, err := s.write(ctx, next, version)
 	if err != nil {
--- a/internal/environment/document.go
+++ b/internal/environment/document.go
@@ -173,9 +173,9 @@
 	RecentChanges []RecentChange `json:"recent_changes,omitempty"`
 }
 
-// RecentChange lets the writer of a change whose answer was lost find it after
-// later changes replaced it.
+// RecentChange is an accepted change. It lets the writer of a change whose answer
+// was lost find it after later changes replaced it, and operators look back.
 type RecentChange struct {
-	Nonce    string `json:"nonce"`
 	Revision uint64 `json:"revision"`
+	Change
 }
--- a/internal/operator/reads.go
+++ b/internal/operator/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -23,18 +24,18 @@
 }
 
 func (s *Server) history(c echo.Context) error {
-	state := s.Store.View().State
 	history := History{Changes: []ChangeRow{}}
-	if state.Revision > 0 {
-		history.Changes = append(history.Changes, changeRow(state.Revision, state.Change))
+	for _, r := range slices.Backward(s.Store.View().State.RecentChanges) {
+		history.Changes = append(history.Changes, ChangeRow{
+			Revision: r.Revision,
+			Operator: r.Operator,
+			Action:   r.Action,
+			AtMS:     r.AtMS,
+		})
 	}
 	return c.JSON(http.StatusOK, history)
 }
 
-func changeRow(revision uint64, change environment.Change) ChangeRow {
-	return ChangeRow{Revision: revision, Operator: change.Operator, Action: change.Action, AtMS: change.AtMS}
-}
-
 func (s *Server) listKeys(c echo.Context) error {
 	list := KeyList{Keys: []KeyRow{}}
 	for _, k := range s.Store.View().State.Keys {
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -123,6 +123,17 @@
 		Expect(store.View().IsTargetOut(store.View().Target("engine-2"))).To(BeFalse())
 	})
 
+	It("lists accepted changes, newest first, with who made them", func() {
+		declare()
+		Expect(call(writeToken, "PUT", "/zones/zone-a/out", nil, nil)).To(Equal(http.StatusOK))
+		var history operator.History
+		Expect(call(readToken, "GET", "/environment/history", nil, &history)).To(Equal(http.StatusOK))
+		Expect(history.Changes).To(HaveLen(2))
+		Expect(history.Changes[0].Action).To(Equal("take out zone zone-a"))
+		Expect(history.Changes[0].Operator).To(Equal("ada"))
+		Expect(history.Changes[0].Revision).To(BeEquivalentTo(2))
+	})
+
 	It("calls nothing accepted while the platform is down", func() {
 		declare()
 		before := store.View().State.Revision
