--- a/internal/environment/document.go
+++ b/internal/environment/document.go
@@ -36,6 +36,9 @@
 // Zone is an availability zone.
 type Zone struct {
 	Name string `json:"name"`
+	// LeavingSoon announces that the zone will be taken out: its targets go on
+	// serving while what they hold is made ready elsewhere.
+	LeavingSoon bool `json:"leaving_soon,omitempty"`
 }
 
 // Account is a client account.
@@ -94,6 +97,8 @@
 	// MaxOrderDelayMS is the longest time in milliseconds between sending an
 	// order and its effect.
 	MaxOrderDelayMS int `json:"max_order_delay_ms,omitempty"`
+	// LeavingSoon announces that the target will be taken out, as for a zone.
+	LeavingSoon bool `json:"leaving_soon,omitempty"`
 }
 
 // Service is a plain service reached under /services/NAME/.
@@ -168,9 +173,9 @@
 	RecentChanges []RecentChange `json:"recent_changes,omitempty"`
 }
 
-// RecentChange lets the writer of a change whose answer was lost find it after
-// later changes replaced it.
+// RecentChange is an accepted change. It lets the writer of a change whose answer
+// was lost find it after later changes replaced it, and operators look back.
 type RecentChange struct {
-	Nonce    string `json:"nonce"`
 	Revision uint64 `json:"revision"`
+	Change
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -211,12 +212,21 @@
 		return routing.Completed
 	case ctx.Err() != nil:
 		return routing.Cancelled
+	case isNotResident(err):
+		return routing.NotResident
 	case errors.Is(err, target.ErrRejected):
 		return routing.Rejected
 	}
 	return routing.Failed
 }
 
+// isNotResident reports whether the engine refused the call for want of the
+// model.
+func isNotResident(err error) bool {
+	var rejected *target.RejectedError
+	return errors.As(err, &rejected) && rejected.Status == http.StatusNotFound
+}
+
 func priority(class routing.Class) int {
 	if class == routing.ClassBatch {
 		return 0
