--- a/internal/quota/escrow_test.go
+++ b/internal/quota/escrow_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -190,6 +191,28 @@
 		Expect(w.overdraft("a")).To(BeEmpty())
 	})
 
+	It("lets a zone that comes back empty claim its part anew", func() {
+		w := startedWorld(1, 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		w.nodes[1].escrow.Leave(ctx)
+		w.settle()
+		w.nodes[1].crash()
+		w.accept(w.document(rate, burst), "zone-2")
+		w.nodes[0].view = w.accepted
+		w.settle()
+		Expect(w.nodes[0].share()).To(BeNumerically("~", rate, 1))
+		behind := w.nodes[1].view
+		w.nodes[1].start()
+		w.nodes[1].view = behind
+		w.settle()
+		w.network.Cut(w.nodes[0].name, w.nodes[1].name, true)
+		w.clock.Advance(time.Minute)
+		w.nodes[0].drain(10)
+		w.nodes[1].drain(10)
+		Expect(w.overdraft("a")).To(BeEmpty())
+	})
+
 	It("adds no refund to a bucket that has been full since", func() {
 		w := startedWorld(1)
 		long, err := w.nodes[0].reserve("a", 5000)
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -47,7 +47,7 @@
 func (m *machine) step(t *rapid.T) {
 	w := m.world
 	steps := []func(*rapid.T){
-		m.demand, m.demand, m.demand, m.exhaust, m.exhaust, m.end, m.end,
+		m.demand, m.demand, m.exhaust, m.exhaust, m.exhaust, m.exhaust, m.end, m.end,
 		m.sync, m.sync, m.sync, m.syncAll,
 		m.pass, m.pass, m.passLong,
 		m.fail, m.fail, m.cut, m.platform, m.change, m.learn,
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -203,15 +203,10 @@
 // overdraft returns a description of a window in which more was admitted than
 // the documents allow, or "".
 func (w *world) overdraft(account string) string {
-	for i, first := range w.log {
-		if first.account != account {
-			continue
-		}
+	moments := w.moments(account)
+	for i, first := range moments {
 		var sum int64
-		for _, last := range w.log[i:] {
-			if last.account != account {
-				continue
-			}
+		for _, last := range moments[i:] {
 			sum += last.tokens
 			rate, burst := w.bound(account, first.at, last.at)
 			t := last.at.Sub(first.at).Seconds()
@@ -223,6 +218,21 @@
 	return ""
 }
 
+// moments sums up the admissions of each instant, in order.
+func (w *world) moments(account string) (out []admission) {
+	for _, a := range w.log {
+		if a.account != account {
+			continue
+		}
+		if n := len(out); n > 0 && out[n-1].at.Equal(a.at) {
+			out[n-1].tokens += a.tokens
+			continue
+		}
+		out = append(out, admission{at: a.at, tokens: a.tokens})
+	}
+	return out
+}
+
 // bound returns the largest rate and burst of the documents that may be obeyed
 // from one time to another.
 func (w *world) bound(account string, from, to time.Time) (rate, burst float64) {
