--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -82,11 +82,12 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(c)
+	body, err := s.readAuthenticatedBody(c)
 	if err != nil {
 		return nil, err
 	}
 	return &relay.ServiceCall{
+		BeforeSend:     s.checkAgain(c),
 		ID:             c.Get(requestIDKey).(string),
 		Account:        account,
 		Service:        service.Name,
@@ -164,7 +165,7 @@
 
 func isHopByHop(name string) bool {
 	switch name {
-	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host":
+	case "Connection", "Expect", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host":
 		return true
 	}
 	return false
--- a/internal/idempotency/claims.go
+++ b/internal/idempotency/claims.go
@@ -11,7 +11,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/apex/log"
-	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -67,6 +66,7 @@
 	clock    clockwork.Clock
 	log      *log.Logger
 	metrics  *metrics
+	gate     gate
 	finished chan struct{}
 }
 
@@ -79,6 +79,7 @@
 		clock:    clock,
 		log:      logger,
 		metrics:  newMetrics(registerer),
+		gate:     gate{clock: clock},
 		finished: make(chan struct{}, sweepEvery),
 	}
 }
@@ -89,7 +90,7 @@
 	if call.IdempotencyKey == "" || call.Idempotent {
 		return c.next.Invoke(ctx, call)
 	}
-	claim, answer, err := c.begin(ctx, call)
+	claim, answer, err := c.tryBegin(ctx, call)
 	if err != nil {
 		c.metrics.count(err)
 		return nil, err
@@ -107,6 +108,18 @@
 	return reply, err
 }
 
+// tryBegin calls begin unless the platform has just failed.
+func (c *Claims) tryBegin(ctx context.Context, call *relay.ServiceCall) (*claim, *Answer, error) {
+	if !c.gate.admits() {
+		return nil, nil, merry.Wrap(ErrUnavailable)
+	}
+	claim, answer, err := c.begin(ctx, call)
+	if ctx.Err() == nil {
+		c.gate.note(!errors.Is(err, ErrUnavailable))
+	}
+	return claim, answer, err
+}
+
 // begin claims the key, or returns the answer kept under it, or the reason why
 // neither is possible.
 func (c *Claims) begin(ctx context.Context, call *relay.ServiceCall) (*claim, *Answer, error) {
@@ -174,118 +187,3 @@
 
 // RetryAfterHint returns when a repeat may find the outcome.
 func (*BusyError) RetryAfterHint() time.Duration { return retryAfter }
-
-// claim is a key held by this instance for one call. It is used by one
-// goroutine.
-type claim struct {
-	owner    *Claims
-	key      string
-	nonce    string
-	hash     []byte
-	deadline time.Time
-	version  platform.Version
-	// isSending is set once the record is known to be in StateSending by this
-	// claim.
-	isSending bool
-}
-
-func (c *Claims) newClaim(call *relay.ServiceCall) *claim {
-	return &claim{owner: c, key: objectKey(call), nonce: uuid.NewString(), hash: requestHash(call), deadline: call.Deadline}
-}
-
-// write moves the record to state if its version is expected.
-func (c *claim) write(ctx context.Context, state State, answer *Answer, expected platform.Version) error {
-	now := c.owner.clock.Now()
-	lease := now.Add(claimLease)
-	if state != StateClaimed {
-		lease = c.deadline.Add(leaseSlack)
-	}
-	record := Record{
-		State: state, Nonce: c.nonce, Holder: c.owner.holder, RequestHash: c.hash,
-		LeaseUntilMS: lease.UnixMilli(), ExpiresMS: now.Add(Retention).UnixMilli(), Answer: answer,
-	}
-	value, err := record.encode()
-	if err != nil {
-		return err
-	}
-	object, err := platform.PutSettled(ctx, c.owner.objects, c.owner.clock, c.key, value, expected, isWrite(c.nonce, state))
-	if err == nil {
-		c.version = object.Version
-	}
-	return err
-}
-
-// sending is called before the first byte of the call is sent, and again before
-// each further target. Without its success nothing is sent. The last check of
-// the monotonic clock keeps a holder that was paused beyond its deadline, for
-// up to the whole retention, from sending.
-func (c *claim) sending(ctx context.Context) error {
-	if !c.isSending {
-		if err := c.writeSending(ctx); err != nil {
-			return err
-		}
-	}
-	if !c.owner.clock.Now().Before(c.deadline) {
-		return merry.Wrap(relay.ErrNotRun, merry.WithCause(context.DeadlineExceeded))
-	}
-	return nil
-}
-
-func (c *claim) writeSending(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
-	err := c.write(ctx, StateSending, nil, c.version)
-	switch {
-	case err == nil:
-		c.isSending = true
-		return nil
-	case errors.Is(err, platform.ErrConflict):
-		return &BusyError{}
-	}
-	return merry.Wrap(ErrUnavailable, merry.WithCause(err))
-}
-
-// finish stores the outcome. The caller gets its answer also if that fails;
-// repeats then get an unknown outcome once the lease has passed.
-func (c *claim) finish(ctx context.Context, reply *target.ServiceReply, err error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), platformTimeout)
-	defer cancel()
-	switch {
-	case err == nil:
-		err = c.storeAnswer(ctx, reply)
-	case errors.Is(err, ErrInProgress):
-		// Another instance took the key over.
-		return
-	case errors.Is(err, relay.ErrNotRun), errors.Is(err, ErrUnavailable):
-		err = c.release(ctx)
-	default:
-		err = c.write(ctx, StateUnknown, nil, c.version)
-	}
-	if err != nil {
-		c.owner.metrics.unstored.Inc()
-		c.owner.log.Warnf("Outcome of a claim not stored: %v.", err)
-	}
-}
-
-func (c *claim) storeAnswer(ctx context.Context, reply *target.ServiceReply) error {
-	if len(reply.Body) > maxAnswerBytes {
-		return c.write(ctx, StateDone, nil, c.version)
-	}
-	return c.write(ctx, StateDone, newAnswer(reply), c.version)
-}
-
-// release deletes the record of a call that did not run, so that a repeat can
-// run it. A record that stays because the platform fails can be taken over or
-// leads to unknown outcomes.
-func (c *claim) release(ctx context.Context) error {
-	err := c.owner.objects.Delete(ctx, c.key, c.version)
-	if !errors.Is(err, platform.ErrConflict) {
-		return err
-	}
-	// The write to StateSending took effect after its answer was lost.
-	object, err := c.owner.objects.Get(ctx, c.key)
-	if err != nil || !isWrite(c.nonce, StateSending)(object.Value) {
-		return nil
-	}
-	return c.owner.objects.Delete(ctx, c.key, object.Version)
-}
