--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,10 @@
 	Prefixes []target.PrefixHash
 	// MaxTokens is the limit of generated tokens that Body states.
 	MaxTokens int64
+	// BeforeSend is called with a target at hand, before anything is sent to it.
+	// Its error ends the call, which was then not sent to that target. It may be
+	// nil.
+	BeforeSend func(ctx context.Context) error
 }
 
 // Sink takes the chunks of an answer in order. A chunk is valid until Chunk
@@ -207,12 +212,21 @@
 		return routing.Completed
 	case ctx.Err() != nil:
 		return routing.Cancelled
+	case isNotResident(err):
+		return routing.NotResident
 	case errors.Is(err, target.ErrRejected):
 		return routing.Rejected
 	}
 	return routing.Failed
 }
 
+// isNotResident reports whether the engine refused the call for want of the
+// model.
+func isNotResident(err error) bool {
+	var rejected *target.RejectedError
+	return errors.As(err, &rejected) && rejected.Status == http.StatusNotFound
+}
+
 func priority(class routing.Class) int {
 	if class == routing.ClassBatch {
 		return 0
