--- a/internal/admission/picker_test.go
+++ b/internal/admission/picker_test.go
@@ -20,6 +20,7 @@
 // router is a fake with slots per model; a model without an entry has no target.
 type router struct {
 	free map[string]int
+	last *routing.Slot
 }
 
 func (r *router) Pick(request routing.Request) (*routing.Slot, error) {
@@ -31,7 +32,8 @@
 		return nil, routing.ErrNoCapacity
 	}
 	r.free[request.Served]--
-	return routing.NewSlot(&environment.Target{Name: request.Served}, func(routing.Outcome) { r.free[request.Served]++ }), nil
+	r.last = routing.NewSlot(&environment.Target{Name: request.Served}, func(routing.Outcome) { r.free[request.Served]++ })
+	return r.last, nil
 }
 
 var _ = Describe("Fair", func() {
@@ -67,6 +69,10 @@
 		return slot
 	}
 
+	It("hands on the router's own slot, which times the first token", func() {
+		Expect(occupy()).To(BeIdenticalTo(targets.last))
+	})
+
 	It("gives a freed slot to the waiting request", func() {
 		slot := occupy()
 		done := wait(context.Background(), request("b", "reader", routing.ClassInteractive))
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -64,7 +64,7 @@
 	Target *environment.Target
 
 	done       func(Outcome)
-	inner      *Slot
+	after      func(Outcome)
 	router     *Router
 	load       *load
 	key        groupKey
@@ -77,27 +77,25 @@
 	return &Slot{Target: t, done: done}
 }
 
-// WrapSlot returns a slot that stands for inner and hands the outcome of its call
-// to done, which has to end inner.
-func WrapSlot(inner *Slot, done func(Outcome)) *Slot {
-	return &Slot{Target: inner.Target, inner: inner, done: done}
-}
+// OnDone sets a function that is called once the slot is freed. It is set
+// before the slot is handed on.
+func (s *Slot) OnDone(after func(Outcome)) { s.after = after }
 
 // Done frees the slot.
 func (s *Slot) Done(outcome Outcome) {
 	if s.done != nil {
 		s.done(outcome)
-		return
+	} else {
+		s.router.finish(s, outcome)
+	}
+	if s.after != nil {
+		s.after(outcome)
 	}
-	s.router.finish(s, outcome)
 }
 
 // FirstToken tells that the first token of the answer came. Later calls have no
 // effect.
 func (s *Slot) FirstToken() {
-	if s.inner != nil {
-		s.inner.FirstToken()
-	}
 	if s.router == nil || s.firstToken {
 		return
 	}
