Operators list and release shares of accounts

Need: a share held by a lost process rests until its lease ends; operators see it and settle it. Shown by internal/operator: lists shares and releases those of a process that has ended.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -166,6 +166,8 @@
 		}},
 		{"account", "Inspect client accounts.", []command{
 			{"list", "List client accounts.", &accountListCommand{a}},
+			{"shares", "List who holds which part of the accounts.", &shareListCommand{a}},
+			{"release", "Free the shares of a process that has certainly ended.", &shareReleaseCommand{App: a}},
 		}},
 	}
 }
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -106,7 +106,7 @@
 
 func readAnswer(answer []byte, status int, out any) error {
 	if status >= 200 && status < 300 {
-		if out == nil {
+		if out == nil || status == http.StatusNoContent {
 			return nil
 		}
 		if err := json.Unmarshal(answer, out); err != nil {
--- a/internal/cli/lists.go
+++ b/internal/cli/lists.go
@@ -185,3 +185,34 @@
 		return t
 	})
 }
+
+type shareListCommand struct{ *App }
+
+// Execute implements flags.Commander.
+func (c *shareListCommand) Execute([]string) error {
+	return show(c.App, "/shares", func(l *operator.ShareList) table {
+		t := table{header: []string{"ACCOUNT", "ZONE", "INSTANCE", "INCARNATION", "STATE", "TOKENS/S", "BURST"}}
+		for _, s := range l.Shares {
+			rate := fmt.Sprintf("%.1f", s.RateTokensPerSecond)
+			burst := fmt.Sprintf("%.0f", s.BurstTokens)
+			t.rows = append(t.rows, []string{s.Account, s.Zone, s.Instance, s.Incarnation, s.State, rate, burst})
+		}
+		return t
+	})
+}
+
+type shareReleaseCommand struct {
+	*App
+	Args struct {
+		Zone        string `positional-arg-name:"ZONE" required:"yes"`
+		Incarnation string `positional-arg-name:"INCARNATION" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *shareReleaseCommand) Execute([]string) error {
+	path := "/shares/" + url.PathEscape(c.Args.Zone) + "/" + url.PathEscape(c.Args.Incarnation)
+	return change(c.App, http.MethodDelete, path, nil, func(*struct{}) table {
+		return table{rows: [][]string{{"released"}}}
+	})
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -63,6 +63,7 @@
 	router     *routing.Router
 	picker     relay.Picker
 	limiter    quota.Limiter
+	escrow     *quota.Escrow
 	relay      entry.Relayer
 	demand     entry.DemandRecorder
 	entry      *entry.Server
--- a/internal/instance/wire_admission.go
+++ b/internal/instance/wire_admission.go
@@ -51,7 +51,7 @@
 		Log:         i.part("quota"),
 		Metrics:     i.registry,
 	})
-	i.limiter = escrow
+	i.limiter, i.escrow = escrow, escrow
 	i.store.Subscribe(func(*environment.View) { escrow.Poke() })
 	i.run(escrow.Run)
 	i.drainWith(func(ctx context.Context) {
--- a/internal/instance/wire_servers.go
+++ b/internal/instance/wire_servers.go
@@ -25,6 +25,7 @@
 		Trials:    trial.New(i.settings.Environment, i.store, d.Objects, d.Clock),
 		Inventory: i.inventory.Snapshot,
 		Members:   i.membership.Members,
+		Shares:    i.escrow,
 		Gatherer:  i.registry,
 		Clock:     d.Clock,
 		Log:       i.part("operator"),
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -116,6 +116,17 @@
 	})
 }
 
+// releaseShares frees the shares of a process that the operator vouches to have
+// ended.
+func (s *Server) releaseShares(c echo.Context) error {
+	zone, incarnation := c.Param("zone"), c.Param("incarnation")
+	if err := s.Shares.Release(c.Request().Context(), zone, incarnation); err != nil {
+		return err
+	}
+	s.Log.Infof("Shares of %s in zone %s released by %s.", incarnation, zone, operatorOf(c))
+	return c.NoContent(http.StatusNoContent)
+}
+
 // targetLeaving marks a target as leaving or takes it back.
 func (s *Server) targetLeaving(leaving bool) echo.HandlerFunc {
 	action := "return target "
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -7,6 +7,8 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/dotterellink/dotterellink/internal/environment"
+	"github.com/dotterellink/dotterellink/internal/platform"
+	"github.com/dotterellink/dotterellink/internal/quota"
 	"github.com/dotterellink/dotterellink/internal/trial"
 )
 
@@ -21,6 +23,11 @@
 	{ErrUnauthenticated, http.StatusUnauthorized, "give the token of an operator in the instance's settings"},
 	{ErrForbidden, http.StatusForbidden, "ask an operator with the role write"},
 	{ErrUnknownName, http.StatusNotFound, "list the names that exist"},
+	{quota.ErrNoHolder, http.StatusNotFound, "list the shares that exist"},
+	{platform.ErrConflict, http.StatusConflict, "look at the shares, then try again"},
+	{platform.ErrUnavailable, http.StatusServiceUnavailable, "nothing was changed; try again"},
+	{platform.ErrThrottled, http.StatusServiceUnavailable, "nothing was changed; try again"},
+	{platform.ErrOutcomeUnknown, http.StatusGatewayTimeout, "look at the shares before trying again"},
 	{ErrBadRequest, http.StatusBadRequest, ""},
 	{trial.ErrNotFound, http.StatusNotFound, "start a trial first; old trials are deleted"},
 	{trial.ErrOutdated, http.StatusConflict, "start a new trial against the document now in force"},
--- a/internal/operator/reads.go
+++ b/internal/operator/reads.go
@@ -148,6 +148,22 @@
 	return c.JSON(http.StatusOK, list)
 }
 
+func (s *Server) listShares(c echo.Context) error {
+	list := ShareList{Shares: []ShareRow{}}
+	for _, h := range s.Shares.Shares() {
+		list.Shares = append(list.Shares, ShareRow{
+			Account:             h.Account,
+			Zone:                h.Zone,
+			Instance:            h.Holder,
+			Incarnation:         h.Incarnation,
+			State:               string(h.State),
+			RateTokensPerSecond: h.Share.Rate,
+			BurstTokens:         h.Share.Burst,
+		})
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
 func (s *Server) status(c echo.Context) error {
 	view := s.Store.View()
 	now := s.Clock.Now()
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -3,6 +3,7 @@
 package operator
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
@@ -19,6 +20,7 @@
 	"github.com/dotterellink/dotterellink/internal/environment"
 	"github.com/dotterellink/dotterellink/internal/inventory"
 	"github.com/dotterellink/dotterellink/internal/membership"
+	"github.com/dotterellink/dotterellink/internal/quota"
 	"github.com/dotterellink/dotterellink/internal/settings"
 	"github.com/dotterellink/dotterellink/internal/trial"
 )
@@ -43,6 +45,13 @@
 
 const maxBodyBytes = 2 << 20
 
+// Shares knows and frees the shares of client accounts; quota.Escrow is one.
+type Shares interface {
+	Shares() []quota.Holding
+	// Release frees the shares of a process that has certainly ended.
+	Release(ctx context.Context, zone, incarnation string) error
+}
+
 // Config holds what a server is made of.
 type Config struct {
 	Settings  settings.Settings
@@ -50,6 +59,7 @@
 	Trials    *trial.Trials
 	Inventory func() *inventory.Snapshot
 	Members   func() []membership.Member
+	Shares    Shares
 	Gatherer  prometheus.Gatherer
 	Clock     clockwork.Clock
 	Log       *log.Logger
@@ -86,6 +96,8 @@
 	api.DELETE("/zones/:name/out", s.allow(RoleWrite, s.zoneOut(false)))
 	api.GET("/models", s.allow(RoleRead, s.listModels))
 	api.GET("/accounts", s.allow(RoleRead, s.listAccounts))
+	api.GET("/shares", s.allow(RoleRead, s.listShares))
+	api.DELETE("/shares/:zone/:incarnation", s.allow(RoleWrite, s.releaseShares))
 	return s
 }
 
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -16,6 +17,7 @@
 	"github.com/dotterellink/dotterellink/internal/keys"
 	"github.com/dotterellink/dotterellink/internal/membership"
 	"github.com/dotterellink/dotterellink/internal/operator"
+	"github.com/dotterellink/dotterellink/internal/quota"
 	"github.com/dotterellink/dotterellink/internal/settings"
 	"github.com/dotterellink/dotterellink/internal/standin/enginestandin"
 	"github.com/dotterellink/dotterellink/internal/standin/fleet"
@@ -24,6 +26,21 @@
 	"github.com/dotterellink/dotterellink/internal/trial"
 )
 
+// shares is a fake with one holder.
+type shares struct{ released bool }
+
+func (s *shares) Shares() []quota.Holding {
+	return []quota.Holding{{Account: "celula", Zone: "zone-a", Holder: "instance-4", Incarnation: "i-1", State: quota.HoldingFenced, Share: quota.Share{Rate: 5, Burst: 50}}}
+}
+
+func (s *shares) Release(_ context.Context, _, incarnation string) error {
+	if incarnation != "i-1" {
+		return quota.ErrNoHolder
+	}
+	s.released = true
+	return nil
+}
+
 const (
 	writeToken = "write-token"
 	readToken  = "read-token"
@@ -34,6 +51,7 @@
 		server   *operator.Server
 		store    *environment.Store
 		platform *platformstandin.Store
+		holdings *shares
 	)
 
 	BeforeEach(func() {
@@ -47,7 +65,9 @@
 			{Operator: "ada", Role: operator.RoleWrite, TokenSHA256: keys.HashToken(writeToken)},
 			{Operator: "bob", Role: operator.RoleRead, TokenSHA256: keys.HashToken(readToken)},
 		}
+		holdings = &shares{}
 		server = operator.New(operator.Config{
+			Shares:    holdings,
 			Settings:  s,
 			Store:     store,
 			Trials:    trial.New("production", store, platform, clock),
@@ -134,6 +154,18 @@
 		Expect(history.Changes[0].Revision).To(BeEquivalentTo(2))
 	})
 
+	It("lists shares and releases those of a process that has ended", func() {
+		var list operator.ShareList
+		Expect(call(readToken, "GET", "/shares", nil, &list)).To(Equal(http.StatusOK))
+		Expect(list.Shares).To(HaveLen(1))
+		Expect(list.Shares[0].State).To(Equal("fenced"))
+		Expect(call(readToken, "DELETE", "/shares/zone-a/i-1", nil, nil)).To(Equal(http.StatusForbidden))
+		Expect(call(writeToken, "DELETE", "/shares/zone-a/i-2", nil, nil)).To(Equal(http.StatusNotFound))
+		Expect(holdings.released).To(BeFalse())
+		Expect(call(writeToken, "DELETE", "/shares/zone-a/i-1", nil, nil)).To(Equal(http.StatusNoContent))
+		Expect(holdings.released).To(BeTrue())
+	})
+
 	It("calls nothing accepted while the platform is down", func() {
 		declare()
 		before := store.View().State.Revision
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -135,6 +135,22 @@
 	Keys                int    `json:"keys"`
 }
 
+// ShareList lists who holds which part of the client accounts.
+type ShareList struct {
+	Shares []ShareRow `json:"shares"`
+}
+
+// ShareRow is an account's share at one process of an instance.
+type ShareRow struct {
+	Account             string  `json:"account"`
+	Zone                string  `json:"zone"`
+	Instance            string  `json:"instance"`
+	Incarnation         string  `json:"incarnation"`
+	State               string  `json:"state"`
+	RateTokensPerSecond float64 `json:"rate_tokens_per_second"`
+	BurstTokens         float64 `json:"burst_tokens"`
+}
+
 // Status describes the asked instance.
 type Status struct {
 	Instance    string `json:"instance"`
--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -24,6 +24,6 @@
     "$cli" replay "$out/trace.jsonl" "${against[@]}" --seed "$seed" --html "$name.html" --json "$name.json" > "$name.txt" 2> "$name.err" || true
     ./scripts/fleet-stop.sh > /dev/null
     printf '%s rate %s seed %s %-8s ' "$deployment" "$rate" "$seed" "$policy"
-    awk '/^attainment/ {printf "attainment %s ", $2} /^worst account/ {printf "worst %s ", $5} /^refused inside/ {printf "wrongful %s overload %s ", $4, $8} /^moves/ {printf "moves %s ", $2} /^prompt/ {printf "cached %s ", $4} /^MISSED/ {printf "[%s] ", $0} END {print ""}' "$name.txt"
+    awk '/^attainment/ {printf "attainment %s ", $2} /^worst account/ {printf "worst %s ", $5} /^refused inside/ {printf "wrongful %s overload %s ", $5, $9} /^moves/ {printf "moves %s ", $2} /^prompt/ {printf "cached %s ", $4} /^MISSED/ {printf "[%s] ", $0} END {print ""}' "$name.txt"
   done
 done
