--- a/scripts/fleet-stop.sh
+++ b/scripts/fleet-stop.sh
@@ -2,7 +2,7 @@
 # Ends the processes that fleet-start.sh started, and no others.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-pids=.fleet/pids
+pids=${FLEET_DIR:-.fleet}/pids
 [ -s "$pids" ] || { echo "no fleet is started"; exit 0; }
 while read -r pid _; do
   kill -TERM "$pid" 2> /dev/null
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -5,14 +5,15 @@
 # second. Usage: scripts/slopes.sh SECONDS "INSTANCES ENGINES MODELS" ...
 set -euo pipefail
 cd "$(dirname "$0")/.."
+fleet=${FLEET_DIR:-.fleet} network=${FLEET_NETWORK:-20}
 seconds=$1
 shift
 metrics() { # NAME: the sum over all instances
   for i in $(seq "$instances"); do
-    curl -fsS -m 2 "http://127.20.1.$i:8081/metrics"
+    curl -fsS -m 2 "http://127.$network.1.$i:8081/metrics"
   done | awk -v n="$1" '$1 ~ "^"n"([{]|$)" {s += $2} END {printf "%.6f", s}'
 }
-calls() { curl -fsS http://127.20.0.1:7000/stand-in/stats | tr -d '{}"' | tr ',' '\n' | awk -F: '$1 ~ /reads|writes|watches/ {printf "%s ", $2}'; }
+calls() { curl -fsS http://127.$network.0.1:7000/stand-in/stats | tr -d '{}"' | tr ',' '\n' | awk -F: '$1 ~ /reads|writes|watches/ {printf "%s ", $2}'; }
 echo "instances engines models | cpu_percent resident_mb mesh_bytes_per_s | platform reads/s writes/s watches/s"
 for size in "$@"; do
   read -r instances engines models <<< "$size"
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -5,40 +5,41 @@
 # Usage: scripts/soak.sh DEPLOYMENT RATE SECONDS SEED OUTDIR
 set -uo pipefail
 cd "$(dirname "$0")/.."
+fleet=${FLEET_DIR:-.fleet} network=${FLEET_NETWORK:-20}
 deployment=$1 rate=$2 seconds=$3 seed=$4 out=$5
 mkdir -p "$out"
-export DOTTERELLINK_ADDRESS=127.20.1.1:8081,127.20.1.2:8081,127.20.1.3:8081,127.20.1.4:8081 DOTTERELLINK_TOKEN=fleet-operator
-platform=http://127.20.0.1:7000
-cli=.fleet/bin/dotterellink
+export DOTTERELLINK_ADDRESS=127.$network.1.1:8081,127.$network.1.2:8081,127.$network.1.3:8081,127.$network.1.4:8081 DOTTERELLINK_TOKEN=fleet-operator
+platform=http://127.$network.0.1:7000
+cli=$fleet/bin/dotterellink
 ./scripts/fleet-start.sh --deployment "$deployment" --rate "$rate" > "$out/start.log" || exit 1
 "$cli" trace --deployment "$deployment" --rate "$rate" --duration "${seconds}s" --seed "$seed" > "$out/trace.jsonl"
 against=()
-for i in 1 2 3 4 5 6 7; do against+=(--against "127.20.1.$i:8080"); done
+for i in 1 2 3 4 5 6 7; do against+=(--against "127.$network.1.$i:8080"); done
 "$cli" replay "$out/trace.jsonl" "${against[@]}" --seed "$seed" --min-worst -1 --max-wrongful -1 \
   --html "$out/report.html" --json "$out/report.json" > "$out/report.txt" 2> "$out/progress.log" &
 replay=$!
 
 RANDOM=$seed
 log() { echo "$(date -u +%H:%M:%S) $*" | tee -a "$out/faults.log"; }
-pid_of() { awk -v name="$1" '$2 == name {print $1}' .fleet/pids; }
+pid_of() { awk -v name="$1" '$2 == name {print $1}' $fleet/pids; }
 faults() { curl -fsS -o /dev/null -X PUT -d "$1" "$platform/stand-in/faults"; }
 restart() { # NAME: starts the process again with its own arguments
   local name=$1 program args
-  read -r _ program args < <(grep "^$name " .fleet/commands)
+  read -r _ program args < <(grep "^$name " $fleet/commands)
   # shellcheck disable=SC2086  # the arguments hold no spaces
-  ".fleet/bin/$program" $args >> ".fleet/$name.log" 2>&1 &
-  sed -i "/ $name\$/d" .fleet/pids
-  echo "$! $name" >> .fleet/pids
+  "$fleet/bin/$program" $args >> "$fleet/$name.log" 2>&1 &
+  sed -i "/ $name\$/d" $fleet/pids
+  echo "$! $name" >> $fleet/pids
 }
 resources() {
   for i in 1 2 3 4 5 6 7; do
-    curl -fsS -m 2 "http://127.20.1.$i:8081/metrics" 2> /dev/null |
+    curl -fsS -m 2 "http://127.$network.1.$i:8081/metrics" 2> /dev/null |
       awk -v t="$SECONDS" -v i="$i" '/^process_resident_memory_bytes/ {m = $2} /^go_goroutines/ {g = $2} END {if (m) printf "%d,instance-%d,%.1f,%d\n", t, i, m / 1048576, g}' >> "$out/resources.csv"
   done
 }
 echo "seconds,instance,resident_mb,goroutines" > "$out/resources.csv"
 instance() { echo "instance-$((1 + RANDOM % 7))"; }
-engine() { echo "127.20.2.$((1 + RANDOM % 9)):9000"; }
+engine() { echo "127.$network.2.$((1 + RANDOM % 9)):9000"; }
 zones=(zone-a zone-b zone-c)
 while kill -0 "$replay" 2> /dev/null && [ "$SECONDS" -lt "$seconds" ]; do
   resources
