--- a/test/process/placement_test.go
+++ b/test/process/placement_test.go
@@ -16,8 +16,8 @@
 	"github.com/dotterellink/dotterellink/internal/target"
 )
 
-// takeoverBound is the bound of issue 5 from a death to the orders of the next
-// orderer, with the planner's decision and the platform's calls on top.
+// takeoverBound is the stated 10 s from a death to the orders of the next
+// orderer, and as long again for the decision of the next planner.
 const takeoverBound = 20 * time.Second
 
 var _ = Describe("Placement", func() {
