--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -8,6 +8,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
@@ -78,6 +79,7 @@
 	s.echo.HTTPErrorHandler = s.handleError
 	s.echo.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(c.Gatherer, promhttp.HandlerOpts{})))
 	api := s.echo.Group("/operator/v1")
+	api.GET("/profile", s.allow(RoleWrite, echo.WrapHandler(http.HandlerFunc(pprof.Profile))))
 	api.GET("/status", s.allow(RoleRead, s.status))
 	api.GET("/environment", s.allow(RoleRead, s.showEnvironment))
 	api.GET("/environment/history", s.allow(RoleRead, s.history))
