Names a Go reader expects: timeouts, notifications, backoff

patience, poke, hurry, kick and dry were metaphors; behaviour is unchanged. Shown by the tests of relay, coldstart, quota, environment, idempotency, operator, which pass as before.

--- a/internal/coldstart/service.go
+++ b/internal/coldstart/service.go
@@ -44,8 +44,8 @@
 // Service holds permits for this instance and lends them to others while the
 // instance is a grantor. It is safe for concurrent use.
 type Service struct {
-	cfg  Config
-	kick chan struct{}
+	cfg    Config
+	askNow chan struct{}
 
 	mu       sync.Mutex
 	holder   *Holder
@@ -68,7 +68,7 @@
 	}
 	s := &Service{
 		cfg:      cfg,
-		kick:     make(chan struct{}, 1),
+		askNow:   make(chan struct{}, 1),
 		holder:   NewHolder(cfg.Draw()),
 		grantors: make(map[string]*Grantor),
 		servedAt: make(map[string]time.Time),
@@ -101,7 +101,7 @@
 	ok := s.holder.Acquire(t.Name, t.Zone, s.cfg.Clock.Now())
 	s.mu.Unlock()
 	if !ok {
-		s.hurry()
+		s.askSoon()
 	}
 	return ok
 }
@@ -130,13 +130,13 @@
 		s.cfg.Metrics.findings.Inc()
 		s.cfg.Log.Infof("Target %s acts like a cold one.", t.Name)
 	}
-	s.hurry()
+	s.askSoon()
 }
 
-// hurry makes the loop ask before its interval ends.
-func (s *Service) hurry() {
+// askSoon makes the loop ask before its interval ends.
+func (s *Service) askSoon() {
 	select {
-	case s.kick <- struct{}{}:
+	case s.askNow <- struct{}{}:
 	default:
 	}
 }
@@ -150,7 +150,7 @@
 		timer := s.cfg.Clock.NewTimer(wait - s.cfg.Clock.Since(started))
 		select {
 		case <-timer.Chan():
-		case <-s.kick:
+		case <-s.askNow:
 			s.pauseBriefly(ctx, minKick-s.cfg.Clock.Since(started))
 		case <-ctx.Done():
 		}
@@ -291,7 +291,7 @@
 	news := s.holder.Find(f)
 	s.mu.Unlock()
 	if news {
-		s.hurry()
+		s.askSoon()
 	}
 }
 
--- a/internal/environment/change.go
+++ b/internal/environment/change.go
@@ -30,7 +30,7 @@
 	// MayWrite returns nil once this instance may write a change on top of
 	// current, or an error if it may not.
 	MayWrite(ctx context.Context, current *State) error
-	// Announce returns nil once every instance that speaks for this zone holds
+	// Announce returns nil once every instance that answers for this zone holds
 	// the state.
 	Announce(ctx context.Context, state *State) error
 }
--- a/internal/environment/freshness.go
+++ b/internal/environment/freshness.go
@@ -103,7 +103,7 @@
 	return paused
 }
 
-// Entitled reports whether the instance may speak for its zone.
+// Entitled reports whether the instance may answer for its zone.
 func (f *Freshness) Entitled(now time.Time) bool {
 	return f.entitled && f.IsRunning(now)
 }
--- a/internal/environment/messages.go
+++ b/internal/environment/messages.go
@@ -33,7 +33,7 @@
 	Nonce    string `msgpack:"n"`
 	// ConfirmedAgeMS is neverConfirmed without a confirmation.
 	ConfirmedAgeMS int64 `msgpack:"c"`
-	// Entitled tells that the instance may speak for its zone.
+	// Entitled tells that the instance may answer for its zone.
 	Entitled bool `msgpack:"e,omitempty"`
 	// ReachesPlatform tells that the instance itself lately reached the platform.
 	ReachesPlatform bool         `msgpack:"p,omitempty"`
--- a/internal/environment/propagate.go
+++ b/internal/environment/propagate.go
@@ -68,7 +68,7 @@
 	return false
 }
 
-// knowsZone reports whether every instance of the zone that could speak for it
+// knowsZone reports whether every instance of the zone that could answer for it
 // is known to this one.
 func (s *Syncer) knowsZone() bool {
 	heard := make(map[string]bool)
--- a/internal/environment/sync.go
+++ b/internal/environment/sync.go
@@ -52,7 +52,7 @@
 	clock   clockwork.Clock
 	log     *log.Logger
 	metrics *metrics
-	poke    chan string
+	syncNow chan string
 
 	mu        sync.Mutex
 	freshness *Freshness
@@ -70,7 +70,7 @@
 		members:   members,
 		clock:     clock,
 		log:       logger,
-		poke:      make(chan string, 1),
+		syncNow:   make(chan string, 1),
 		freshness: NewFreshness(now),
 		wokeAt:    now,
 	}
@@ -96,7 +96,7 @@
 			s.Tick()
 		case <-exchange.Chan():
 			s.askAll(ctx)
-		case from := <-s.poke:
+		case from := <-s.syncNow:
 			s.askAll(ctx)
 			if from != "" {
 				go s.ask(ctx, from)
@@ -127,7 +127,7 @@
 // wake makes a round of exchanges start at once.
 func (s *Syncer) wake(from string) {
 	select {
-	case s.poke <- from:
+	case s.syncNow <- from:
 	default:
 	}
 }
--- a/internal/environment/world_test.go
+++ b/internal/environment/world_test.go
@@ -254,7 +254,7 @@
 	}
 	poked := false
 	select {
-	case <-i.syncer.poke:
+	case <-i.syncer.syncNow:
 		poked = true
 	default:
 	}
--- a/internal/idempotency/gate.go
+++ b/internal/idempotency/gate.go
@@ -48,7 +48,7 @@
 }
 
 // gate refuses claims at once while the platform fails, so that callers do not
-// wait for it and its return meets no stampede. It is safe for concurrent use.
+// wait for it and its return meets no burst of calls. It is safe for concurrent use.
 type gate struct {
 	clock clockwork.Clock
 
--- a/internal/instance/wire_admission.go
+++ b/internal/instance/wire_admission.go
@@ -52,7 +52,7 @@
 		Metrics:     i.registry,
 	})
 	i.limiter, i.escrow = escrow, escrow
-	i.store.Subscribe(func(*environment.View) { escrow.Poke() })
+	i.store.Subscribe(func(*environment.View) { escrow.Notify() })
 	i.run(escrow.Run)
 	i.drainWith(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, handOverLimit)
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -116,7 +116,7 @@
 	})
 }
 
-// releaseShares frees the shares of a process that the operator vouches to have
+// releaseShares frees the shares of a process that, by the operator's word, has
 // ended.
 func (s *Server) releaseShares(c echo.Context) error {
 	zone, incarnation := c.Param("zone"), c.Param("incarnation")
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -28,10 +28,10 @@
 	returnInterval = 500 * time.Millisecond
 	// returnTimeout bounds the answer to one of them.
 	returnTimeout = 200 * time.Millisecond
-	// minDry and maxDry bound the time without asking after all peers had too
+	// minLoanBackoff and maxLoanBackoff bound the time without asking after all peers had too
 	// little.
-	minDry = 50 * time.Millisecond
-	maxDry = time.Second
+	minLoanBackoff = 50 * time.Millisecond
+	maxLoanBackoff = time.Second
 )
 
 // gather asks peers one after the other until the request can be reserved. It
@@ -170,7 +170,7 @@
 func (e *Escrow) mayAsk(account string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.now().Before(e.dry[account].until)
+	return !e.now().Before(e.loanBackoffs[account].until)
 }
 
 // noteGathered backs off from asking while peers have nothing.
@@ -178,9 +178,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if gathered {
-		delete(e.dry, account)
+		delete(e.loanBackoffs, account)
 		return
 	}
-	wait := min(maxDry, max(minDry, 2*e.dry[account].wait))
-	e.dry[account] = dryState{until: e.now().Add(wait), wait: wait}
+	wait := min(maxLoanBackoff, max(minLoanBackoff, 2*e.loanBackoffs[account].wait))
+	e.loanBackoffs[account] = loanBackoff{until: e.now().Add(wait), wait: wait}
 }
--- a/internal/quota/escrow.go
+++ b/internal/quota/escrow.go
@@ -38,10 +38,10 @@
 //
 // Lock order: syncMu before mu. No call leaves the process while mu is held.
 type Escrow struct {
-	config  Config
-	self    mesh.Peer
-	metrics *metrics
-	poke    chan struct{}
+	config   Config
+	self     mesh.Peer
+	metrics  *metrics
+	notified chan struct{}
 
 	// syncMu orders the work on divisions.
 	syncMu sync.Mutex
@@ -49,17 +49,17 @@
 
 	mu     sync.Mutex
 	ledger *Ledger
-	// dry tells until when no peer is asked for tokens of an account again.
-	dry  map[string]dryState
-	slow map[string]time.Time
+	// loanBackoffs tells until when no peer is asked for tokens of an account again.
+	loanBackoffs map[string]loanBackoff
+	slow         map[string]time.Time
 	// keptGeneration is the newest generation of the zone's division that the
 	// ledger keeps.
 	keptGeneration uint64
 	incarnation    string
 }
 
-// dryState backs off from asking peers that had nothing to spare.
-type dryState struct {
+// loanBackoff backs off from asking peers that had nothing to spare.
+type loanBackoff struct {
 	until time.Time
 	wait  time.Duration
 }
@@ -72,15 +72,15 @@
 		c.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	e := &Escrow{
-		config:      c,
-		self:        c.Mesh.Self(),
-		metrics:     newMetrics(c.Metrics),
-		poke:        make(chan struct{}, 1),
-		sync:        newSyncState(),
-		ledger:      NewLedger(),
-		dry:         make(map[string]dryState),
-		slow:        make(map[string]time.Time),
-		incarnation: uuid.NewString(),
+		config:       c,
+		self:         c.Mesh.Self(),
+		metrics:      newMetrics(c.Metrics),
+		notified:     make(chan struct{}, 1),
+		sync:         newSyncState(),
+		ledger:       NewLedger(),
+		loanBackoffs: make(map[string]loanBackoff),
+		slow:         make(map[string]time.Time),
+		incarnation:  uuid.NewString(),
 	}
 	mesh.Handle(c.Mesh, methodLoan, e.onLoan)
 	mesh.Handle(c.Mesh, methodReturn, e.onReturn)
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -67,7 +67,7 @@
 	return HoldingActive
 }
 
-// Release frees the share of a holder at once, in any zone. The operator vouches
+// Release frees the share of a holder at once, in any zone. The operator must be sure
 // that the process has ended: a share that is still spent would be spent twice.
 func (e *Escrow) Release(ctx context.Context, zone, incarnation string) error {
 	e.syncMu.Lock()
--- a/internal/quota/sync.go
+++ b/internal/quota/sync.go
@@ -66,7 +66,7 @@
 	for ctx.Err() == nil {
 		if err := e.Follow(ctx, watchWait); err == nil {
 			retry.Reset()
-			e.Poke()
+			e.Notify()
 			continue
 		}
 		select {
@@ -90,7 +90,7 @@
 			retry.Reset()
 		}
 		select {
-		case <-e.poke:
+		case <-e.notified:
 		case <-e.config.Clock.After(wait):
 		case <-ctx.Done():
 			return
@@ -98,10 +98,10 @@
 	}
 }
 
-// Poke makes the loop look at once, for example at a new environment.
-func (e *Escrow) Poke() {
+// Notify makes the loop look at once, for example at a new environment.
+func (e *Escrow) Notify() {
 	select {
-	case e.poke <- struct{}{}:
+	case e.notified <- struct{}{}:
 	default:
 	}
 }
@@ -295,6 +295,6 @@
 	e.config.Log.Infof("Division of zone %s at generation %d: %s.", zone, next.Generation, a)
 	e.takeObject(zone, object)
 	e.apply()
-	e.Poke()
+	e.Notify()
 	return nil
 }
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -165,8 +165,8 @@
 func (m *modelRun) stream(ctx context.Context, address, id string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	patience := patienceOf(m.call, m.relay.clock.Now())
-	watchdog := m.relay.clock.AfterFunc(patience.first, func() { cancel(ErrInactive) })
+	timeouts := timeoutsOf(m.call, m.relay.clock.Now())
+	watchdog := m.relay.clock.AfterFunc(timeouts.first, func() { cancel(ErrInactive) })
 	defer watchdog.Stop()
 	stream, err := m.relay.engines.Generate(ctx, address, m.targetCall(ctx, id))
 	if err != nil {
@@ -191,7 +191,7 @@
 		if err := m.deliver(chunk); err != nil {
 			return err
 		}
-		watchdog.Reset(patience.between)
+		watchdog.Reset(timeouts.between)
 	}
 }
 
--- a/internal/relay/timeouts.go
+++ b/internal/relay/timeouts.go
@@ -19,19 +19,19 @@
 	leastFirst = 100 * time.Millisecond
 )
 
-// patience holds the inactivity timeouts of one attempt.
-type patience struct {
+// inactivityTimeouts holds the inactivity timeouts of one attempt.
+type inactivityTimeouts struct {
 	first   time.Duration
 	between time.Duration
 }
 
-// patienceOf returns the timeouts of a call by its class and deadline. The first
+// timeoutsOf returns the timeouts of a call by its class and deadline. The first
 // token of a stream gets at most half of the time left, so that another target
 // can still be tried.
-func patienceOf(call *Call, now time.Time) patience {
-	p := patience{first: interactiveFirst, between: interactiveBetween}
+func timeoutsOf(call *Call, now time.Time) inactivityTimeouts {
+	p := inactivityTimeouts{first: interactiveFirst, between: interactiveBetween}
 	if call.Class == routing.ClassBatch {
-		p = patience{first: batchFirst, between: batchBetween}
+		p = inactivityTimeouts{first: batchFirst, between: batchBetween}
 	}
 	if !call.Stream {
 		p.first += time.Duration(call.MaxTokens) * wholePerToken
