Process tests take a loopback network that is free

Cause suspected, not proved: two test processes whose ids are equal modulo 200 shared addresses, which may be why the spec 'is refused everywhere within the bound' failed once at about 03:25 with the platform stand-in out of reach. Ruled out by three runs of it in a row on a quiet machine: a fault that comes back by itself. Now the network is checked to be free before its use.

--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -38,8 +39,19 @@
 	logs      map[string]*os.File
 }
 
-// network returns a loopback network of this test process's own.
-func network() int { return 30 + os.Getpid()%200 }
+// network returns a loopback network that no other test process uses now.
+func network() int {
+	for i := range 200 {
+		n := 30 + (os.Getpid()+i)%200
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:7000", n))
+		if err == nil {
+			Expect(listener.Close()).To(Succeed())
+			return n
+		}
+	}
+	Fail("every loopback network is in use")
+	return 0
+}
 
 func startCluster(p fleet.Params) *cluster {
 	c := &cluster{
