One client of the operator API for the tool and the replay

Cause: the replay had a second copy of the tool's HTTP calls. The client of one address is now a package; the tool and the replay keep their own rules for the next address.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -3,19 +3,13 @@
 package cli
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/dotterellink/dotterellink/internal/operator"
+	"github.com/dotterellink/dotterellink/internal/operator/operatorclient"
 )
 
 // Errors of the tool. Each has its own exit code.
@@ -31,99 +25,48 @@
 	ErrFailed      = merry.Sentinel("failed")
 )
 
-const requestTimeout = 30 * time.Second
-
-// client calls the operator API.
+// client calls the operator API of the first address that takes the connection.
 type client struct {
 	addresses []string
 	token     string
-	http      *http.Client
 }
 
 func newClient(addresses []string, token string) *client {
-	return &client{addresses: addresses, token: token, http: &http.Client{Timeout: requestTimeout}}
+	return &client{addresses: addresses, token: token}
 }
 
 // get reads the resource at path into out.
 func (c *client) get(ctx context.Context, path string, out any) error {
-	return c.do(ctx, http.MethodGet, path, nil, out)
+	return c.send(ctx, http.MethodGet, path, nil, out)
 }
 
-// send makes a change and reads the answer into out. The body is sent as it is
-// if it is a []byte, else as JSON.
+// send tries the addresses in turn until one takes the connection. A request
+// that was sent is not repeated at another address.
 func (c *client) send(ctx context.Context, method, path string, body, out any) error {
-	raw, ok := body.([]byte)
-	if !ok && body != nil {
-		var err error
-		if raw, err = json.Marshal(body); err != nil {
-			return merry.Wrap(ErrUsage, merry.WithCause(err))
-		}
-	}
-	return c.do(ctx, method, path, raw, out)
-}
-
-// do tries the addresses in turn until one takes the connection. A request that
-// was sent is not repeated at another address.
-func (c *client) do(ctx context.Context, method, path string, body []byte, out any) error {
 	var last error
 	for _, address := range c.addresses {
-		answer, status, err := c.try(ctx, address, method, path, body)
-		if isDialError(err) {
-			last = merry.Wrap(ErrUnavailable, merry.AppendMessage(err.Error()))
-			continue
+		last = operatorclient.New(address, c.token).Do(ctx, method, path, body, out)
+		if !errors.Is(last, operatorclient.ErrNotReached) {
+			break
 		}
-		if err != nil && method == http.MethodGet {
-			return merry.Wrap(ErrUnavailable, merry.AppendMessage(err.Error()))
-		}
-		if err != nil {
-			return merry.Wrap(ErrUnknown, merry.AppendMessagef("%v; look at 'dotterellink environment history' before trying again", err))
-		}
-		return readAnswer(answer, status, out)
 	}
-	return last
+	return c.translate(method, last)
 }
 
-func (c *client) try(ctx context.Context, address, method, path string, body []byte) ([]byte, int, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/operator/v1"+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, 0, err
-	}
-	request.Header.Set("Authorization", "Bearer "+c.token)
-	request.Header.Set("Content-Type", "application/json")
-	response, err := c.http.Do(request)
-	if err != nil {
-		return nil, 0, err
-	}
-	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
-	return answer, response.StatusCode, err
-}
-
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
-func readAnswer(answer []byte, status int, out any) error {
-	if status >= 200 && status < 300 {
-		if out == nil || status == http.StatusNoContent {
-			return nil
-		}
-		if err := json.Unmarshal(answer, out); err != nil {
-			return merry.Wrap(ErrFailed, merry.WithCause(err))
-		}
+// translate turns errors of the API into those of the tool.
+func (c *client) translate(method string, err error) error {
+	var failed *operatorclient.StatusError
+	switch {
+	case err == nil:
 		return nil
+	case errors.As(err, &failed):
+		return merry.Wrap(statusError(failed.Status), merry.AppendMessage(failed.Error()))
+	case errors.Is(err, operatorclient.ErrNotReached), method == http.MethodGet && errors.Is(err, operatorclient.ErrNoAnswer):
+		return merry.Wrap(ErrUnavailable, merry.AppendMessage(err.Error()))
+	case errors.Is(err, operatorclient.ErrNoAnswer):
+		return merry.Wrap(ErrUnknown, merry.AppendMessagef("%v; look at 'dotterellink environment history' before trying again", err))
 	}
-	var problem operator.Problem
-	_ = json.Unmarshal(answer, &problem)
-	message := problem.Error
-	if message == "" {
-		message = fmt.Sprintf("status %d", status)
-	}
-	if problem.Hint != "" {
-		message += "; " + problem.Hint
-	}
-	return merry.Wrap(statusError(status), merry.AppendMessage(message))
+	return merry.Wrap(ErrFailed, merry.WithCause(err))
 }
 
 func statusError(status int) error {
--- a/internal/replay/operators.go
+++ b/internal/replay/operators.go
@@ -1,14 +1,11 @@
 package replay
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"net/http"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/dotterellink/dotterellink/internal/operator"
+	"github.com/dotterellink/dotterellink/internal/operator/operatorclient"
 )
 
 // operatorClient calls the operator API of the first address that answers.
@@ -17,10 +14,12 @@
 	token     string
 }
 
+// do repeats a call at the next address after any failure: while faults come,
+// an instance may die or hang. The calls of a replay may all be repeated.
 func (c *operatorClient) do(ctx context.Context, method, path string, body, out any) error {
 	var last error
 	for _, address := range c.addresses {
-		last = c.try(ctx, address, method, path, body, out)
+		last = operatorclient.New(address, c.token).Do(ctx, method, path, body, out)
 		if last == nil {
 			return nil
 		}
@@ -28,31 +27,6 @@
 	return last
 }
 
-func (c *operatorClient) try(ctx context.Context, address, method, path string, body, out any) error {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/operator/v1"+path, bytes.NewReader(data))
-	if err != nil {
-		return err
-	}
-	request.Header.Set("Authorization", "Bearer "+c.token)
-	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode >= http.StatusBadRequest {
-		return merry.Wrap(ErrSetup, merry.AppendMessagef("%s %s: status %d", method, path, response.StatusCode))
-	}
-	if out == nil {
-		return nil
-	}
-	return json.NewDecoder(response.Body).Decode(out)
-}
-
 func (c *operatorClient) change(ctx context.Context, method, path string) error {
 	return c.do(ctx, method, path, nil, nil)
 }
