--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -32,6 +32,14 @@
 }
 
 var _ = Describe("The tool", func() {
+	BeforeEach(func() {
+		for _, name := range []string{"DOTTERELLINK_ADDRESS", "DOTTERELLINK_TOKEN", "DOTTERELLINK_TOKEN_FILE"} {
+			// Setenv restores the variable after the spec.
+			GinkgoT().Setenv(name, "")
+			Expect(os.Unsetenv(name)).To(Succeed())
+		}
+	})
+
 	DescribeTable("exits by the kind of failure and says what to do",
 		func(status int, want int) {
 			address := serve(status, `{"error":"it failed","hint":"do this"}`)
