A zone marked as leaving soon can be taken out, and stays out

Cause: operator and trial looked a zone up by comparing whole values, which stopped matching once zones got leaving_soon: 'zone out' answered 'unknown name', and a promotion dropped the zone from those taken out. Ruled out: the document check, which goes by names. Document.HasZone now serves these two and the environment's own copy. Seen failing first, both halves: 404 instead of 200, then the zone back in service after a promotion.

--- a/internal/environment/document.go
+++ b/internal/environment/document.go
@@ -2,6 +2,8 @@
 // that instances serve by, and its way from and to the platform.
 package environment
 
+import "slices"
+
 // TargetKind tells model engines from plain services.
 type TargetKind string
 
@@ -41,6 +43,11 @@
 	LeavingSoon bool `json:"leaving_soon,omitempty"`
 }
 
+// HasZone reports whether the document has the availability zone.
+func (d *Document) HasZone(name string) bool {
+	return slices.ContainsFunc(d.Zones, func(z Zone) bool { return z.Name == name })
+}
+
 // Account is a client account.
 type Account struct {
 	Name string `json:"name"`
--- a/internal/environment/propagate.go
+++ b/internal/environment/propagate.go
@@ -46,7 +46,7 @@
 	if current.Revision == 0 {
 		return nil
 	}
-	if len(current.Document.Zones) > 0 && !hasZone(&current.Document, s.mesh.Self().Zone) {
+	if len(current.Document.Zones) > 0 && !current.Document.HasZone(s.mesh.Self().Zone) {
 		return merry.Wrap(ErrNotAccepted, merry.AppendMessagef("zone %s of this instance is not in the document", s.mesh.Self().Zone))
 	}
 	for !s.knowsZone() {
@@ -59,15 +59,6 @@
 	return nil
 }
 
-func hasZone(d *Document, name string) bool {
-	for _, z := range d.Zones {
-		if z.Name == name {
-			return true
-		}
-	}
-	return false
-}
-
 // knowsZone reports whether every instance of the zone that could answer for it
 // is known to this one.
 func (s *Syncer) knowsZone() bool {
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -155,7 +155,7 @@
 	return func(c echo.Context) error {
 		name := c.Param("name")
 		return s.change(c, action+name, func(state *environment.State) error {
-			if !slices.Contains(state.Document.Zones, environment.Zone{Name: name}) {
+			if !state.Document.HasZone(name) {
 				return merry.Wrap(ErrUnknownName, merry.AppendMessagef("zone %q", name))
 			}
 			state.ZonesOut = withName(state.ZonesOut, name, out)
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -166,6 +166,21 @@
 		Expect(holdings.released).To(BeTrue())
 	})
 
+	It("takes out a zone that is marked as leaving soon, also over a promotion", func() {
+		document := fleet.New("", fleet.Small(20)).Document
+		document.Zones[0].LeavingSoon = true
+		promote := func() {
+			var t operator.TrialAnswer
+			Expect(call(writeToken, "POST", "/trials", document, &t)).To(Equal(http.StatusCreated))
+			Expect(call(writeToken, "POST", "/trials/"+t.ID+"/promotion", nil, nil)).To(Equal(http.StatusOK))
+		}
+		promote()
+		Expect(call(writeToken, "PUT", "/zones/zone-a/out", nil, nil)).To(Equal(http.StatusOK))
+		document.Accounts[0].BurstTokens++
+		promote()
+		Expect(store.View().IsZoneOut("zone-a")).To(BeTrue())
+	})
+
 	It("calls nothing accepted while the platform is down", func() {
 		declare()
 		before := store.View().State.Revision
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -143,7 +143,7 @@
 	view := environment.NewView(state, time.Time{})
 	state.TargetsLeaving = slices.DeleteFunc(state.TargetsLeaving, func(name string) bool { return view.Target(name) == nil })
 	state.ZonesOut = slices.DeleteFunc(state.ZonesOut, func(name string) bool {
-		return !slices.Contains(state.Document.Zones, environment.Zone{Name: name})
+		return !state.Document.HasZone(name)
 	})
 }
 
