--- a/internal/replay/events.go
+++ b/internal/replay/events.go
@@ -108,11 +108,11 @@
 	case ActionTargetReturn:
 		return e.operators.change(ctx, http.MethodDelete, "/targets/"+event.Name+"/leaving")
 	case ActionPlatformFaults:
-		return standIn(ctx, http.MethodPut, e.platform, platformstandin.FaultsPath, event.Platform)
+		return standIn(ctx, http.MethodPut, e.platform, platformstandin.FaultsPath, event.Platform, nil)
 	case ActionTurnCold:
-		return standIn(ctx, http.MethodPost, e.addresses[event.Name], enginestandin.TurnColdPath, nil)
+		return standIn(ctx, http.MethodPost, e.addresses[event.Name], enginestandin.TurnColdPath, nil, nil)
 	case ActionRestart:
-		return standIn(ctx, http.MethodPost, e.addresses[event.Name], enginestandin.RestartPath, nil)
+		return standIn(ctx, http.MethodPost, e.addresses[event.Name], enginestandin.RestartPath, nil, nil)
 	case ActionSignal:
 		return e.signal(event)
 	case ActionSurge:
@@ -157,8 +157,9 @@
 
 const standInTimeout = 5 * time.Second
 
-// standIn calls the controls of a stand-in.
-func standIn(ctx context.Context, method, address, path string, body any) error {
+// standIn calls the controls of a stand-in and decodes its answer into out, which
+// may be nil.
+func standIn(ctx context.Context, method, address, path string, body, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, standInTimeout)
 	defer cancel()
 	data, err := json.Marshal(body)
@@ -173,5 +174,9 @@
 	if err != nil {
 		return err
 	}
-	return response.Body.Close()
+	defer response.Body.Close()
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(response.Body).Decode(out)
 }
--- a/internal/replay/witness.go
+++ b/internal/replay/witness.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 
 	"github.com/dotterellink/dotterellink/internal/operator"
@@ -22,34 +21,19 @@
 	for _, t := range targets {
 		if t.Kind == "engine" {
 			var e enginestandin.Witness
-			if readWitness(ctx, t.Address, enginestandin.WitnessPath, &e) == nil {
+			if standIn(ctx, http.MethodGet, t.Address, enginestandin.WitnessPath, nil, &e) == nil {
 				w.Engines = append(w.Engines, e)
 			}
 			continue
 		}
 		var s servicestandin.Witness
-		if readWitness(ctx, t.Address, servicestandin.WitnessPath, &s) == nil {
+		if standIn(ctx, http.MethodGet, t.Address, servicestandin.WitnessPath, nil, &s) == nil {
 			w.Services = append(w.Services, s)
 		}
 	}
 	return w
 }
 
-func readWitness(ctx context.Context, address, path string, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, standInTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	return json.NewDecoder(response.Body).Decode(out)
-}
-
 // moves is the number of loads and unloads of all engines.
 func (w Witnesses) moves() int {
 	n := 0
