--- /dev/null
+++ b/cmd/dotterellinkd/gateway.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dotterellink/dotterellink/internal/gateway"
+	"github.com/dotterellink/dotterellink/internal/telemetry"
+	"github.com/dotterellink/dotterellink/platform"
+)
+
+// runGateway runs an instance that serves the announced targets of a platform.
+func runGateway(o options) error {
+	s, err := gateway.LoadSettings(o.Settings)
+	if err != nil || o.Check {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	registry := prometheus.NewRegistry()
+	logger, lines, err := telemetry.NewBoundedLog(os.Stdout, s.Log.Level, s.Log.LinesPerSecond, registry)
+	if err != nil {
+		return err
+	}
+	defer lines.Close()
+	go reloadOnSignal(ctx, o.Settings, logger)
+	g, err := gateway.New(s, gateway.Dependencies{
+		Objects: platform.NewStore(s.Store), Source: platform.Source(), Dialect: platform.Dialect{},
+		Operator: platform.NewOperator(), ReadyPath: platform.ReadyPath, Tracing: telemetry.NoTracing(),
+	}, logger, registry)
+	if err != nil {
+		return err
+	}
+	return g.Run(ctx)
+}
+
+// reloadOnSignal reads the settings again at SIGHUP and takes over the level of
+// the log. A file that cannot be used changes nothing.
+func reloadOnSignal(ctx context.Context, path string, logger *log.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		s, err := gateway.LoadSettings(path)
+		if err != nil {
+			logger.WithError(err).Warn("daemon: Settings not reloaded, keeping the last.")
+			continue
+		}
+		logger.WithFields(log.Fields{"zone": s.Zone, "level": s.Log.Level}).Info("daemon: Settings read again.")
+	}
+}
--- a/cmd/dotterellinkd/main.go
+++ b/cmd/dotterellinkd/main.go
@@ -28,6 +28,7 @@
 
 type options struct {
 	Settings string `long:"settings" description:"settings of the instance, JSON with comments" value-name:"FILE" required:"true"`
+	Gateway  bool   `long:"gateway" description:"serve the announced targets of a platform; the settings are those of a gateway"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 }
 
@@ -54,6 +55,9 @@
 }
 
 func run(o options) error {
+	if o.Gateway {
+		return runGateway(o)
+	}
 	s, err := settings.Load(o.Settings)
 	if err != nil || o.Check {
 		return err
--- /dev/null
+++ b/internal/allowance/window.go
@@ -0,0 +1,194 @@
+package allowance
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// window counts events of the last span.
+type window struct {
+	span  time.Duration
+	times []time.Time
+}
+
+func (w *window) count(now time.Time) int {
+	w.trim(now)
+	return len(w.times)
+}
+
+func (w *window) add(now time.Time) {
+	w.trim(now)
+	w.times = append(w.times, now)
+}
+
+func (w *window) trim(now time.Time) {
+	i := 0
+	for i < len(w.times) && now.Sub(w.times[i]) >= w.span {
+		i++
+	}
+	w.times = w.times[i:]
+}
+
+// RetryBounds bounds repeated sends to a service in any span of time, over all
+// instances.
+type RetryBounds struct {
+	Window time.Duration
+	// Ratio of repeats to calls, beyond Slack.
+	Ratio float64
+	Slack float64
+}
+
+// Retries is this instance's part of the bound on repeats. It is safe for
+// concurrent use.
+type Retries struct {
+	mu       sync.Mutex
+	bounds   RetryBounds
+	services map[string]*retryCounts
+}
+
+type retryCounts struct{ calls, repeats window }
+
+// NewRetries returns a budget of which nothing was used.
+func NewRetries(b RetryBounds) *Retries {
+	return &Retries{bounds: b, services: make(map[string]*retryCounts)}
+}
+
+// service requires r.mu.
+func (r *Retries) service(name string) *retryCounts {
+	s := r.services[name]
+	if s == nil {
+		s = &retryCounts{window{span: r.bounds.Window}, window{span: r.bounds.Window}}
+		r.services[name] = s
+	}
+	return s
+}
+
+// Called counts a call for the service.
+func (r *Retries) Called(service string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.service(service).calls.add(now)
+}
+
+// retrySafety is the part of the bound that is used: calls of one window may be
+// counted in the next, and clocks differ.
+const retrySafety = 0.8
+
+// Repeat takes one repeat from the budget, of which instances many share the
+// slack.
+func (r *Retries) Repeat(service string, instances int, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(service)
+	allowed := retrySafety * (r.bounds.Ratio*float64(s.calls.count(now)) + r.bounds.Slack/float64(max(1, instances)))
+	if float64(s.repeats.count(now)+1) > allowed {
+		return false
+	}
+	s.repeats.add(now)
+	return true
+}
+
+// ColdBounds widens the rate that a target in cold start bears.
+type ColdBounds struct {
+	Overshoot float64
+	Slack     float64
+}
+
+const (
+	// coldWindow is the span in which calls to a cold target are counted. It is a
+	// little longer than the second of the bound: what is sent may arrive later.
+	coldWindow = 1100 * time.Millisecond
+	// coldPart is the number of calls in a window that one instance may send to a
+	// cold target if it is one of those chosen.
+	coldPart = 2
+)
+
+// Cold divides the calls that cold targets bear among the instances. It is safe
+// for concurrent use.
+type Cold struct {
+	mu      sync.Mutex
+	bounds  ColdBounds
+	targets map[string]*window
+}
+
+// NewCold returns a divider.
+func NewCold(b ColdBounds) *Cold { return &Cold{bounds: b, targets: make(map[string]*window)} }
+
+// Part returns how many calls in a window self may send to the target, which
+// bears rate a second. All instances that know the same members choose the same
+// ones.
+func (c *Cold) Part(target string, rate float64, self string, members []string) int {
+	total := int(rate*c.bounds.Overshoot + c.bounds.Slack)
+	if total >= coldPart*len(members) {
+		return total / max(1, len(members))
+	}
+	chosen := max(1, total/coldPart)
+	better := 0
+	own := rank(target, self)
+	for _, m := range members {
+		if r := rank(target, m); m != self && (r > own || r == own && m < self) {
+			better++
+		}
+	}
+	if better >= chosen {
+		return 0
+	}
+	return min(coldPart, max(1, total))
+}
+
+// rank orders instances for a target (rendezvous hashing).
+func rank(target, instance string) uint64 { return xxhash.Sum64String(target + "\x00" + instance) }
+
+// Room reports whether a call may be sent now, given the instance's part.
+func (c *Cold) Room(target string, part int, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.targets[target]
+	return part > 0 && (w == nil || w.count(now) < part)
+}
+
+// Sent counts a call. Calls to warm targets are counted too, since a target may
+// turn out to be cold.
+func (c *Cold) Sent(target string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.targets[target]
+	if w == nil {
+		w = &window{span: coldWindow}
+		c.targets[target] = w
+	}
+	w.add(now)
+}
+
+// NextRoom returns the time until a call may be sent.
+func (c *Cold) NextRoom(target string, part int, now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.targets[target]
+	if w == nil || part <= 0 || w.count(now) < part {
+		return 0
+	}
+	return w.span - now.Sub(w.times[len(w.times)-part])
+}
+
+// Forget drops targets that are no longer listed.
+func (c *Cold) Forget(listed []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.targets {
+		if !slices.Contains(listed, id) {
+			delete(c.targets, id)
+		}
+	}
+}
+
+// Share returns the part of the fleet that is heard: what self and heard peers
+// make of all known instances, those that certainly ended left out.
+func Share(heard, known, ended int) float64 {
+	living := max(1, known-ended)
+	return math.Min(1, float64(heard)/float64(living))
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,352 @@
+// Package gateway wires the slices that serve announced targets on a platform,
+// and runs one instance from its start to its planned stop.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/apex/log"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dotterellink/dotterellink/internal/allowance"
+	"github.com/dotterellink/dotterellink/internal/call"
+	"github.com/dotterellink/dotterellink/internal/catalog"
+	"github.com/dotterellink/dotterellink/internal/dispatch"
+	"github.com/dotterellink/dotterellink/internal/fleet"
+	"github.com/dotterellink/dotterellink/internal/mesh"
+	"github.com/dotterellink/dotterellink/internal/passthrough"
+	"github.com/dotterellink/dotterellink/internal/peers"
+	"github.com/dotterellink/dotterellink/internal/platform"
+	"github.com/dotterellink/dotterellink/internal/residency"
+	"github.com/dotterellink/dotterellink/internal/telemetry"
+	"github.com/dotterellink/dotterellink/internal/upstream"
+)
+
+// ErrListen means that an address could not be listened on.
+var ErrListen = merry.Sentinel("gateway: cannot listen")
+
+const (
+	// unackedMesh ends mesh connections whose bytes are not confirmed.
+	unackedMesh = 1500 * time.Millisecond
+	// housekeeping is the time between looks at idle connections, lapsed targets
+	// and the share of quotas.
+	housekeeping = 250 * time.Millisecond
+	// headerTimeout bounds the head of a caller's request. The platform's callers
+	// get 3 s; the rest is for slow machines.
+	headerTimeout = 5 * time.Second
+	// callerIdle is longer than callers keep idle connections.
+	callerIdle = 90 * time.Second
+	// maxHeaderBytes bounds the head of a caller's request.
+	maxHeaderBytes = 64 << 10
+	// snapshotAfter is how long a fresh instance waits for the store before it
+	// asks its peers.
+	snapshotAfter   = 300 * time.Millisecond
+	snapshotTimeout = 500 * time.Millisecond
+	// drainMargin is kept of the grace for ending the process.
+	drainMargin = 600 * time.Millisecond
+	// drainQuiet is how long no call must have run before a stop: the balancer
+	// needs two misses, a second apart, and callers keep open connections.
+	drainQuiet = 2500 * time.Millisecond
+)
+
+// Dependencies are the outside systems of an instance.
+type Dependencies struct {
+	Objects  platform.Objects
+	Source   Source
+	Dialect  call.Dialect
+	Operator call.TargetOperator
+	// ReadyPath is the path of the balancer's question.
+	ReadyPath string
+	Tracing   *telemetry.Tracing
+}
+
+// Gateway is one instance.
+type Gateway struct {
+	settings Settings
+	deps     Dependencies
+	log      log.Interface
+	registry *prometheus.Registry
+
+	catalog  *catalog.Holder
+	fleet    *fleet.Table
+	board    *dispatch.Board
+	client   *upstream.Client
+	quota    *allowance.Quota
+	followed *followed
+	node     *mesh.Node
+	exchange *peers.Exchange
+	holding  *residency.Holding
+	keeper   *residency.Keeper
+	view     *residency.View
+	demand   *residency.Demand
+	server   *passthrough.Server
+	ready    readiness
+
+	callers, readies, meshing, metrics net.Listener
+}
+
+// New wires an instance and opens its listeners.
+func New(s Settings, d Dependencies, logger log.Interface, registry *prometheus.Registry) (*Gateway, error) {
+	g := &Gateway{
+		settings: s, deps: d, log: logger, registry: registry,
+		catalog: catalog.NewHolder(), fleet: fleet.NewTable(), board: dispatch.NewBoard(),
+		quota: allowance.NewQuota(), view: residency.NewView(), demand: residency.NewDemand(),
+	}
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	g.client = upstream.NewClient(registry)
+	g.followed = newFollowed(d.Source, d.Objects, g.catalog, g.fleet, g.board, logger)
+	g.wireMesh()
+	g.wireResidency()
+	g.wireServer()
+	return g, g.listen()
+}
+
+func (g *Gateway) wireMesh() {
+	quiet := &log.Logger{Handler: handlerOf(g.log), Level: log.InfoLevel}
+	g.node = mesh.NewNode(mesh.Peer{Name: g.settings.Name, Zone: g.settings.Zone}, nil, quiet)
+	g.node.ControlDials(upstream.SetUnackedTimeout(unackedMesh))
+	g.registry.MustRegister(g.node.Collectors()...)
+	g.exchange = peers.NewExchange(g.node, g.settings.Listen.Mesh, uuid.NewString(), g.log)
+	g.exchange.Fill, g.exchange.Take, g.exchange.Gone = g.fill, g.take, g.gone
+	g.exchange.Changed = func() bool { return g.board.Pending() || g.keeper.Pending() }
+	mesh.Handle(g.node, methodSnapshot, g.followed.snapshotAsked)
+}
+
+func (g *Gateway) wireResidency() {
+	gap := time.Duration(g.settings.Bounds.OrderGapMS) * time.Millisecond
+	g.holding = residency.NewHolding(g.deps.Objects, g.settings.Name, uuid.NewString(), gap, g.exchange.Names, g.log)
+	g.keeper = residency.NewKeeper(residency.KeeperConfig{
+		Holding: g.holding, Operator: g.deps.Operator, Fleet: g.fleet, Catalog: g.catalog, Demand: g.demand,
+		View: g.view, Node: g.node, Log: g.log, Metrics: g.registry, Poke: g.exchange.Poke,
+		Work: func(id string) time.Duration { return g.board.Waiting(id, time.Now()) },
+	})
+}
+
+func (g *Gateway) wireServer() {
+	b := g.settings.Bounds
+	g.server = passthrough.NewServer(passthrough.Dependencies{
+		Zone: g.settings.Zone, Dialect: g.deps.Dialect, Catalog: g.catalog, Fleet: g.fleet, Board: g.board,
+		Upstream: g.client, Quota: g.quota,
+		Retries:   allowance.NewRetries(allowance.RetryBounds{Window: seconds(b.RetryWindowSeconds), Ratio: b.RetryRatio, Slack: b.RetrySlack}),
+		Cold:      allowance.NewCold(allowance.ColdBounds{Overshoot: b.ColdOvershoot, Slack: b.ColdSlack}),
+		Residency: placement{g}, Members: g.exchange, Log: g.log, Tracer: g.deps.Tracing.Tracer,
+		Metrics: g.registry, Now: time.Now,
+	})
+}
+
+func (g *Gateway) listen() error {
+	for _, l := range []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{g.settings.Listen.Callers, &g.callers},
+		{g.settings.Listen.Ready, &g.readies},
+		{g.settings.Listen.Mesh, &g.meshing},
+		{g.settings.Listen.Metrics, &g.metrics},
+	} {
+		if l.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return merry.Wrap(ErrListen, merry.WithCause(err))
+		}
+		*l.listener = listener
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then drains and stops.
+func (g *Gateway) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	callers := &http.Server{
+		Handler: g.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: nil, DisableGeneralOptionsHandler: true,
+	}
+	group, groupCtx := errgroup.WithContext(background)
+	group.Go(func() error { return serveHTTP(callers, g.callers) })
+	group.Go(func() error { return serveHTTP(g.readyServer(), g.readies) })
+	if g.metrics != nil {
+		group.Go(func() error { return serveHTTP(g.metricsServer(), g.metrics) })
+	}
+	for _, loop := range []func(context.Context) error{
+		func(ctx context.Context) error { return g.node.Run(ctx, g.meshing) },
+		g.followed.config.run, g.followed.targets.run, g.followed.evacuations.run,
+		g.exchange.Run, g.holding.Run, g.keeper.Run, g.introduce, g.housekeep,
+	} {
+		group.Go(func() error { return loop(groupCtx) })
+	}
+	g.log.WithFields(log.Fields{"name": g.settings.Name, "zone": g.settings.Zone, "callers": g.settings.Listen.Callers}).Info("gateway: Started.")
+	select {
+	case <-ctx.Done():
+		g.drain(callers)
+	case <-groupCtx.Done():
+		g.log.WithError(context.Cause(groupCtx)).Error("gateway: A part ended.")
+	}
+	stop()
+	for _, l := range []net.Listener{g.callers, g.readies, g.metrics} {
+		if l != nil {
+			l.Close()
+		}
+	}
+	err := group.Wait()
+	g.log.Info("gateway: Stopped.")
+	if errors.Is(err, context.Canceled) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// drain leaves the balancer, finishes all calls and hands the lease over.
+func (g *Gateway) drain(callers *http.Server) {
+	ends := time.Now().Add(seconds(g.settings.Drain.GraceSeconds) - drainMargin)
+	g.log.Info("gateway: Draining.")
+	g.ready.leave()
+	g.server.Leave()
+	g.exchange.Leave()
+	ctx, cancel := context.WithDeadline(context.Background(), ends)
+	defer cancel()
+	g.holding.Release(ctx)
+	quietSince := time.Now()
+	for time.Now().Before(ends) && time.Since(quietSince) < drainQuiet {
+		time.Sleep(housekeeping / 5)
+		if g.server.Running() > 0 {
+			quietSince = time.Now()
+		}
+	}
+	if err := callers.Shutdown(ctx); err != nil {
+		g.log.WithField("running", g.server.Running()).WithError(err).Warn("gateway: Calls cut at the end of the grace.")
+	}
+}
+
+func (g *Gateway) metricsServer() *http.Server {
+	return &http.Server{Handler: promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: headerTimeout}
+}
+
+// introduce finds the peers: in the store and from seeds.
+func (g *Gateway) introduce(ctx context.Context) error {
+	g.exchange.Seed(g.settings.Seeds)
+	registered := false
+	for {
+		if !registered {
+			registered = g.register(ctx) == nil
+		}
+		if g.catalog.Current() == nil || !registered {
+			if !pause(ctx, snapshotAfter) {
+				return ctx.Err()
+			}
+			g.askPeers(ctx)
+			continue
+		}
+		if !pause(ctx, memberListEvery) {
+			return ctx.Err()
+		}
+		g.listMembers(ctx)
+	}
+}
+
+const (
+	// memberPrefix holds one object for each instance.
+	memberPrefix = "members/"
+	// memberListEvery is the time between looks at the list of instances. New
+	// ones make themselves known; this finds those that nobody reached.
+	memberListEvery = 20 * time.Second
+)
+
+// member is the stored form of an instance.
+type member struct {
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+}
+
+// register writes the own entry and reads those of the others.
+func (g *Gateway) register(ctx context.Context) error {
+	value, err := json.Marshal(member{Zone: g.settings.Zone, Address: g.settings.Listen.Mesh})
+	if err != nil {
+		return err
+	}
+	key := memberPrefix + g.settings.Name
+	_, err = g.deps.Objects.Put(ctx, key, value, 0)
+	if errors.Is(err, platform.ErrConflict) {
+		var stored platform.Object
+		if stored, err = g.deps.Objects.Get(ctx, key); err == nil && string(stored.Value) != string(value) {
+			_, err = g.deps.Objects.Put(ctx, key, value, stored.Version)
+		}
+	}
+	if err != nil {
+		g.log.WithError(err).Info("gateway: Instance not registered yet.")
+		return err
+	}
+	return g.listMembers(ctx)
+}
+
+func (g *Gateway) listMembers(ctx context.Context) error {
+	list, _, err := g.deps.Objects.List(ctx, memberPrefix)
+	if err != nil {
+		g.log.WithError(err).Info("gateway: Instances not listed.")
+		return err
+	}
+	var found []mesh.PeerAddress
+	for _, o := range list {
+		var m member
+		if err := json.Unmarshal(o.Value, &m); err != nil {
+			g.log.WithField("member", nameOf(o.Key)).WithError(err).Warn("gateway: Instance unreadable.")
+			continue
+		}
+		found = append(found, mesh.PeerAddress{Peer: mesh.Peer{Name: nameOf(o.Key), Zone: m.Zone}, Address: m.Address})
+	}
+	g.exchange.Add(found)
+	return nil
+}
+
+// askPeers takes the state from peers while the store has not told it.
+func (g *Gateway) askPeers(ctx context.Context) {
+	g.exchange.Learn(ctx)
+	for _, p := range g.node.Peers() {
+		if g.catalog.Current() != nil {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		s, err := mesh.Call[snapshotRequest, snapshot](callCtx, g.node, p.Name, methodSnapshot, &snapshotRequest{})
+		cancel()
+		if err != nil {
+			g.log.WithField("peer", p.Name).WithError(err).Info("gateway: No state from peer.")
+			continue
+		}
+		g.followed.take(s, time.Now())
+	}
+}
+
+// housekeep does what is due now and then.
+func (g *Gateway) housekeep(ctx context.Context) error {
+	for pause(ctx, housekeeping) {
+		now := time.Now()
+		g.client.CloseIdle()
+		g.fleet.Expire(now)
+		view := g.fleet.View()
+		listed := func(id string) bool { return view.Targets[id] != nil }
+		g.board.Forget(listed, now)
+		g.view.Forget(listed)
+		known, heard := g.exchange.Known()
+		g.quota.SetShare(allowance.Share(heard, known, 0), now)
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/dotterellink/dotterellink/internal/settings"
+)
+
+// Settings of an instance that passes calls through to announced targets.
+type Settings struct {
+	// Name is unique over all instances.
+	Name string `json:"name"`
+	// Zone is the availability zone.
+	Zone   string         `json:"zone"`
+	Listen ListenSettings `json:"listen"`
+	// Seeds are mesh addresses at which other instances may be found.
+	Seeds []string `json:"seeds"`
+	// Store is the address of the platform's store, IP:PORT.
+	Store  string        `json:"store"`
+	Log    LogSettings   `json:"log"`
+	Drain  DrainSettings `json:"drain"`
+	Bounds Bounds        `json:"bounds"`
+}
+
+// ListenSettings holds addresses, each IP:PORT.
+type ListenSettings struct {
+	Callers string `json:"callers"`
+	// Ready answers the balancer's question for readiness.
+	Ready string `json:"ready"`
+	Mesh  string `json:"mesh"`
+	// Metrics serves the metrics of the instance; empty turns them off.
+	Metrics string `json:"metrics"`
+}
+
+// LogSettings configures the log.
+type LogSettings struct {
+	// Level is "debug", "info", "warn" or "error".
+	Level string `json:"level"`
+	// LinesPerSecond bounds what is written; lines beyond are dropped and
+	// counted.
+	LinesPerSecond int `json:"lines_per_second"`
+}
+
+// DrainSettings configures the planned stop.
+type DrainSettings struct {
+	// GraceSeconds is the time between the signal to stop and the kill.
+	GraceSeconds float64 `json:"grace_seconds"`
+}
+
+// Bounds are what all instances together have to keep.
+type Bounds struct {
+	RetryRatio         float64 `json:"retry_ratio"`
+	RetryWindowSeconds float64 `json:"retry_window_seconds"`
+	// RetrySlack is the number of repeats in a window beyond the ratio.
+	RetrySlack float64 `json:"retry_slack"`
+	// ColdOvershoot and ColdSlack widen the rate that a cold target bears.
+	ColdOvershoot float64 `json:"cold_overshoot"`
+	ColdSlack     float64 `json:"cold_slack"`
+	// OrderGapMS is the time that orders of two instances to one target have to
+	// lie apart, in milliseconds.
+	OrderGapMS float64 `json:"order_gap_ms"`
+}
+
+// DefaultSettings returns the settings that a file need not state.
+func DefaultSettings() Settings {
+	return Settings{
+		Log:   LogSettings{Level: "info", LinesPerSecond: 400},
+		Drain: DrainSettings{GraceSeconds: 8},
+		Bounds: Bounds{
+			RetryRatio: 0.1, RetryWindowSeconds: 10, RetrySlack: 20,
+			ColdOvershoot: 1, ColdSlack: 0, OrderGapMS: 3000,
+		},
+	}
+}
+
+// LoadSettings reads and checks a file. Its errors wrap settings.ErrInvalid.
+func LoadSettings(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, merry.Wrap(settings.ErrInvalid, merry.AppendMessagef("%s: %v", path, err))
+	}
+	return ParseSettings(path, data)
+}
+
+// ParseSettings reads and checks settings. The path appears in errors only.
+func ParseSettings(path string, data []byte) (Settings, error) {
+	s := DefaultSettings()
+	if err := settings.Decode(path, data, &s); err != nil {
+		return Settings{}, err
+	}
+	for _, p := range s.problems() {
+		return Settings{}, merry.Wrap(settings.ErrInvalid, merry.AppendMessagef("%s: %s", path, p))
+	}
+	return s, nil
+}
+
+func (s Settings) problems() []string {
+	var out []string
+	check := func(ok bool, problem string) {
+		if !ok {
+			out = append(out, problem)
+		}
+	}
+	check(s.Name != "", "name: must not be empty")
+	check(s.Zone != "", "zone: must not be empty")
+	check(isAddress(s.Listen.Callers), "listen.callers: must be IP:PORT")
+	check(isAddress(s.Listen.Ready), "listen.ready: must be IP:PORT")
+	check(isAddress(s.Listen.Mesh), "listen.mesh: must be IP:PORT")
+	check(s.Listen.Metrics == "" || isAddress(s.Listen.Metrics), "listen.metrics: must be IP:PORT")
+	check(isAddress(s.Store), "store: must be IP:PORT")
+	check(s.Log.LinesPerSecond > 0, "log.lines_per_second: must be above 0")
+	check(s.Drain.GraceSeconds > 0, "drain.grace_seconds: must be above 0")
+	check(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio: must not be negative")
+	check(s.Bounds.RetryWindowSeconds > 0, "bounds.retry_window_seconds: must be above 0")
+	check(s.Bounds.RetrySlack >= 0, "bounds.retry_slack: must not be negative")
+	check(s.Bounds.ColdOvershoot >= 0, "bounds.cold_overshoot: must not be negative")
+	check(s.Bounds.ColdSlack >= 0, "bounds.cold_slack: must not be negative")
+	check(s.Bounds.OrderGapMS >= 0, "bounds.order_gap_ms: must not be negative")
+	return out
+}
+
+func isAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/gateway/status.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dotterellink/dotterellink/internal/fleet"
+	"github.com/dotterellink/dotterellink/internal/peers"
+)
+
+// fill completes the status of this instance.
+func (g *Gateway) fill(s *peers.Status, full bool) {
+	if state := g.catalog.Current(); state != nil {
+		s.StateVersion = state.Version
+	}
+	s.TargetsVersion = uint64(g.followed.targets.at())
+	s.Loads, s.Read = g.board.Drain(full, time.Now())
+	s.Spent = g.quota.Spent()
+	s.Demand = g.demand.Told()
+	if s.Held = g.holding.Told(); s.Held != nil {
+		s.Placed = g.keeper.Told(full)
+	}
+}
+
+// take uses the status of a peer.
+func (g *Gateway) take(from peers.Peer, s *peers.Status, newRun bool) {
+	now := time.Now()
+	g.board.PeerLoads(from.Name, s.Loads, s.Read, now)
+	g.quota.PeerSpent(s.Run, newRun, s.Spent)
+	g.demand.Heard(s.Run, s.Demand, now)
+	for _, r := range s.Read {
+		if r.Adapter != "" {
+			g.keeper.AdapterUsed(r.TargetID, r.Adapter)
+		}
+	}
+	if s.Held != nil {
+		g.holding.Heard(*s.Held)
+		for _, p := range s.Placed {
+			g.view.Apply(p)
+		}
+	}
+	if state := g.catalog.Current(); state != nil && s.StateVersion > state.Version {
+		g.followed.config.hurry()
+	}
+	if newRun {
+		g.log.WithFields(log.Fields{"peer": from.Name, "zone": from.Zone, "run": s.Run}).Info("gateway: Peer heard.")
+	}
+}
+
+// gone forgets a run of a peer that has ended.
+func (g *Gateway) gone(p peers.Peer) {
+	g.board.PeerGone(p.Name)
+	g.quota.PeerGone(p.Run)
+	g.demand.Gone(p.Run)
+}
+
+// placement joins what the view and the keeper know for callers.
+type placement struct{ *Gateway }
+
+// Holds implements passthrough.Residency.
+func (p placement) Holds(t *fleet.Target, model, adapter string) (bool, bool) {
+	return p.view.Holds(t, model, adapter)
+}
+
+// EnsureAdapter implements passthrough.Residency.
+func (p placement) EnsureAdapter(ctx context.Context, service, targetID, model, adapter string) (string, error) {
+	return p.keeper.EnsureAdapter(ctx, service, targetID, model, adapter)
+}
+
+// Demand implements passthrough.Residency.
+func (p placement) Demand(service, model, _ string, work time.Duration, unserved bool) {
+	p.demand.Add(service, model, work, unserved, time.Now())
+}
+
+// ExpectedLoad implements passthrough.Residency.
+func (p placement) ExpectedLoad(service, model string) (time.Duration, bool) {
+	return p.view.ExpectedLoad(p.fleet.View().ByService[service], model)
+}
+
+// readiness is whether the balancer may send callers.
+type readiness struct {
+	mu      sync.Mutex
+	leaving bool
+}
+
+func (r *readiness) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+func (r *readiness) isLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
+func (g *Gateway) readyServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+g.deps.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		status := http.StatusOK
+		if g.ready.isLeaving() || g.catalog.Current() == nil || len(g.fleet.View().Targets) == 0 {
+			status = http.StatusServiceUnavailable
+		}
+		w.WriteHeader(status)
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+// handlerOf returns the handler of a logger, for parts that take a concrete one.
+func handlerOf(l log.Interface) log.Handler {
+	if logger, ok := l.(*log.Logger); ok {
+		return logger.Handler
+	}
+	return log.HandlerFunc(func(*log.Entry) error { return nil })
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -63,6 +63,7 @@
 type State struct {
 	holder  string
 	session string
+	timing  Timing
 
 	record  Record
 	version uint64
@@ -78,7 +79,17 @@
 
 // NewState returns the state of a lease that was never read. The session is
 // unique to a run of the instance.
-func NewState(holder, session string) *State { return &State{holder: holder, session: session} }
+func NewState(holder, session string) *State {
+	return NewTimedState(holder, session, Timing{Duration: Duration, RenewEvery: RenewEvery})
+}
+
+// Timing says how long a lease lasts and how often it is renewed.
+type Timing struct{ Duration, RenewEvery time.Duration }
+
+// NewTimedState returns the state of a lease with a timing of its own.
+func NewTimedState(holder, session string, timing Timing) *State {
+	return &State{holder: holder, session: session, timing: timing}
+}
 
 // Observe takes a read that returned at the time at. Version 0 means that no
 // record exists. Older versions are ignored.
@@ -115,7 +126,7 @@
 	if rank != 0 && now.Sub(s.outranked) >= yieldAfter {
 		return Release
 	}
-	if now.Sub(s.sentAt) >= RenewEvery {
+	if now.Sub(s.sentAt) >= s.timing.RenewEvery {
 		return Renew
 	}
 	return Wait
@@ -133,7 +144,7 @@
 // Proposed returns the record to write for an action and the version on which
 // the write is conditional.
 func (s *State) Proposed(a Action) (Record, uint64) {
-	next := Record{Holder: s.holder, Session: s.session, Token: s.record.Token, DurationMS: Duration.Milliseconds(), Renewal: s.record.Renewal + 1}
+	next := Record{Holder: s.holder, Session: s.session, Token: s.record.Token, DurationMS: s.timing.Duration.Milliseconds(), Renewal: s.record.Renewal + 1}
 	switch a {
 	case Acquire:
 		next.Token++
@@ -161,7 +172,7 @@
 func (s *State) Held(now time.Time) bool { return s.mine && now.Before(s.Until()) }
 
 // Until returns the end of the lease, unless it is renewed.
-func (s *State) Until() time.Time { return s.sentAt.Add(Duration) }
+func (s *State) Until() time.Time { return s.sentAt.Add(s.timing.Duration) }
 
 // Token returns the fencing token of the newest record known.
 func (s *State) Token() uint64 { return s.record.Token }
@@ -169,5 +180,8 @@
 // FreeSince returns when the previous holder's lease had certainly ended.
 func (s *State) FreeSince() time.Time { return s.freeSince }
 
+// Newest returns the newest record known and its version.
+func (s *State) Newest() (Record, uint64) { return s.record, s.version }
+
 // Holder returns the instance in the newest record known, empty if none.
 func (s *State) Holder() string { return s.record.Holder }
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"sort"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -39,11 +40,16 @@
 	links  map[string]*link
 	// ctx is set while the node runs; dialing starts only then.
 	ctx context.Context
+
+	control      func(network, address string, c syscall.RawConn) error
+	onDialFailed func(PeerAddress, error)
 }
 
 var _ Mesh = (*Node)(nil)
 
-// NewNode returns a node that shows the certificate in config.
+// NewNode returns a node that shows the certificate in config. Without a config
+// the connections are plain TCP and peers name themselves: for networks that
+// only instances reach, on which no keys are given out.
 func NewNode(self Peer, config *tls.Config, logger *log.Logger) *Node {
 	return &Node{
 		self:     self,
@@ -56,6 +62,22 @@
 	}
 }
 
+// ControlDials sets a function that prepares the sockets of new connections. It
+// is called before the mesh runs.
+func (n *Node) ControlDials(control func(network, address string, c syscall.RawConn) error) {
+	n.control = control
+}
+
+// OnDialFailed sets a function that learns of peers that cannot be reached. It is
+// called before the mesh runs.
+func (n *Node) OnDialFailed(f func(PeerAddress, error)) { n.onDialFailed = f }
+
+func (n *Node) dialFailed(p PeerAddress, err error) {
+	if n.onDialFailed != nil {
+		n.onDialFailed(p, err)
+	}
+}
+
 // Self implements Mesh.
 func (n *Node) Self() Peer { return n.self }
 
@@ -87,6 +109,20 @@
 	return answer, err
 }
 
+// Notify sends a message that is not answered. It may be lost.
+func (n *Node) Notify(to, method string, body []byte) error {
+	n.mu.Lock()
+	l := n.links[to]
+	n.mu.Unlock()
+	if l == nil {
+		return merry.Wrap(ErrNotConnected)
+	}
+	if err := l.write(&frame{Method: method, Body: body}); err != nil {
+		return l.writeFailed(err)
+	}
+	return nil
+}
+
 // Run accepts connections on listener until ctx ends.
 func (n *Node) Run(ctx context.Context, listener net.Listener) error {
 	n.mu.Lock()
@@ -122,9 +158,8 @@
 
 // serve answers the calls of one peer.
 func (n *Node) serve(ctx context.Context, raw net.Conn) {
-	conn := tls.Server(n.metrics.count(raw), n.config)
+	conn, peer, err := n.accept(ctx, n.metrics.count(raw))
 	defer conn.Close()
-	peer, err := n.handshake(ctx, conn)
 	if err != nil {
 		n.log.Debugf("Connection from %s refused: %v.", raw.RemoteAddr(), err)
 		return
@@ -162,7 +197,9 @@
 	handler := s.node.handlers[f.Method]
 	if handler == nil {
 		reply.Error = "unknown method " + f.Method
-	} else if body, err := handler(ctx, s.peer, f.Body); err != nil {
+	} else if body, err := handler(ctx, s.peer, f.Body); f.ID == 0 {
+		return
+	} else if err != nil {
 		reply.Error = err.Error()
 	} else {
 		reply.Body = body
@@ -191,7 +228,52 @@
 	return Peer{Name: name, Zone: zone}, err
 }
 
-// SetPeers replaces the peers to which connections are kept.
+// accept learns who dialed.
+func (n *Node) accept(ctx context.Context, raw net.Conn) (net.Conn, Peer, error) {
+	if n.config == nil {
+		peer, err := n.greet(raw)
+		return raw, peer, err
+	}
+	conn := tls.Server(raw, n.config)
+	peer, err := n.handshake(ctx, conn)
+	return conn, peer, err
+}
+
+// open learns who was dialed.
+func (n *Node) open(ctx context.Context, raw net.Conn) (net.Conn, Peer, error) {
+	if n.config == nil {
+		peer, err := n.greet(raw)
+		return raw, peer, err
+	}
+	conn := tls.Client(raw, n.config)
+	peer, err := n.handshake(ctx, conn)
+	return conn, peer, err
+}
+
+// greet exchanges names on a plain connection.
+func (n *Node) greet(conn net.Conn) (Peer, error) {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return Peer{}, err
+	}
+	if err := writeFrame(conn, &frame{Method: greeting, Body: []byte(n.self.Name), Error: n.self.Zone}); err != nil {
+		return Peer{}, err
+	}
+	f, err := readFrame(conn)
+	if err != nil {
+		return Peer{}, err
+	}
+	if f.Method != greeting {
+		return Peer{}, merry.Wrap(ErrCodec, merry.AppendMessage("no greeting"))
+	}
+	return Peer{Name: string(f.Body), Zone: f.Error}, conn.SetDeadline(time.Time{})
+}
+
+// greeting is the method of the first frame on a plain connection: its body is
+// the name, its error field the zone.
+const greeting = "hello"
+
+// SetPeers replaces the peers to which connections are kept. A peer without a
+// name is whoever answers at the address.
 func (n *Node) SetPeers(peers []PeerAddress) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -237,13 +319,14 @@
 }
 
 func (n *Node) dial(ctx context.Context, p PeerAddress) (*link, error) {
-	raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", p.Address)
+	dialer := net.Dialer{Timeout: dialTimeout, Control: n.control}
+	raw, err := dialer.DialContext(ctx, "tcp", p.Address)
 	if err != nil {
+		n.dialFailed(p, err)
 		return nil, err
 	}
-	conn := tls.Client(n.metrics.count(raw), n.config)
-	peer, err := n.handshake(ctx, conn)
-	if err == nil && peer.Name != p.Name {
+	conn, peer, err := n.open(ctx, n.metrics.count(raw))
+	if err == nil && (p.Name != "" && peer.Name != p.Name || peer.Name == n.self.Name) {
 		err = merry.Wrap(pki.ErrIdentity, merry.AppendMessagef("found %s", peer.Name))
 	}
 	if err != nil {
--- /dev/null
+++ b/internal/passthrough/choose.go
@@ -0,0 +1,157 @@
+package passthrough
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dotterellink/dotterellink/internal/catalog"
+	"github.com/dotterellink/dotterellink/internal/dispatch"
+	"github.com/dotterellink/dotterellink/internal/fleet"
+)
+
+const (
+	// connectionShare is the part of a target's connections that all instances
+	// together use; health checks and orders need some.
+	connectionShare = 0.9
+	// restartSuspicion is how long after a broken connection a target may be one
+	// that restarted and is cold, beyond its cold start.
+	restartSuspicion = time.Second
+)
+
+// pick returns the target for the next attempt. Without one it answers the call.
+func (f *flight) pick(ctx context.Context) (dispatch.Pick, bool) {
+	service := f.state.Services[f.service]
+	if service == nil {
+		f.giveUp("no_service", noTargetRetry)
+		return dispatch.Pick{}, false
+	}
+	candidates, wait := f.candidates(service)
+	if len(candidates) == 0 {
+		f.noTarget()
+		return dispatch.Pick{}, false
+	}
+	now := f.Now()
+	pick, ok := f.Board.Pick(candidates, f.query(service, now))
+	if !ok {
+		f.giveUp("no_target_free", max(wait, noTargetRetry))
+		return dispatch.Pick{}, false
+	}
+	if pick.Expected > f.ends.Sub(now) {
+		f.logHopeless(pick, now)
+		f.giveUp("too_late", pick.Expected-f.ends.Sub(now)+noTargetRetry/2)
+		return dispatch.Pick{}, false
+	}
+	if f.call.Model != "" {
+		f.Residency.Demand(f.service, f.call.Model, f.call.Adapter, pick.Cost, false)
+	}
+	if pick.NeedsAdapter {
+		return f.withAdapter(ctx, pick, service)
+	}
+	return pick, true
+}
+
+func (f *flight) query(service *catalog.Service, now time.Time) dispatch.Query {
+	q := dispatch.Query{Work: f.work, Zone: f.Zone, Excluded: f.excluded, Now: now}
+	if service.Engine != nil {
+		q.Engine = dispatch.Engine{Slots: service.Engine.Slots, KVTokens: service.Engine.KVTokens}
+	}
+	return q
+}
+
+// candidates returns the targets that hold what the call needs, and the shortest
+// wait for one that its cold start limits.
+func (f *flight) candidates(service *catalog.Service) ([]dispatch.Candidate, time.Duration) {
+	now := f.Now()
+	names := f.Members.Names()
+	maxOpen := max(1, int(connectionShare*float64(service.MaxConnections))/max(1, len(names)))
+	var out []dispatch.Candidate
+	var wait time.Duration
+	for _, t := range f.Fleet.View().ByService[f.service] {
+		holds, adapter := f.Residency.Holds(t, f.call.Model, f.call.Adapter)
+		if !holds {
+			continue
+		}
+		c := dispatch.Candidate{Target: t, NeedsAdapter: !adapter}
+		c.NewConnection = !f.Upstream.HasIdle(t.ID, t.Address)
+		c.Limited = service.MaxConnections > 0 && c.NewConnection && f.Upstream.Open(t.ID, t.Address) >= maxOpen
+		if f.isCold(t, service, now) {
+			part := f.Cold.Part(t.ID, service.ColdRate, f.Members.Self(), names)
+			if !f.Cold.Room(t.ID, part, now) {
+				c.Limited = true
+				if w := f.Cold.NextRoom(t.ID, part, now); w > 0 && (wait == 0 || w < wait) {
+					wait = w
+				}
+			}
+		}
+		out = append(out, c)
+	}
+	return out, wait
+}
+
+// isCold reports whether a target may be in its cold start: as announced, or
+// because it broke a connection and may have restarted since.
+func (f *flight) isCold(t *fleet.Target, service *catalog.Service, now time.Time) bool {
+	if service.ColdRate <= 0 {
+		return false
+	}
+	if now.Before(t.ColdUntil()) {
+		return true
+	}
+	broke := f.Board.MayHaveRestarted(t.ID)
+	return !broke.IsZero() && now.Sub(broke) < service.ColdStart+restartSuspicion
+}
+
+// noTarget answers a call for which no target holds the model, or none is there.
+func (f *flight) noTarget() {
+	retry := noTargetRetry
+	if f.call.Model != "" {
+		f.Residency.Demand(f.service, f.call.Model, f.call.Adapter, 0, true)
+		if eta, ok := f.Residency.ExpectedLoad(f.service, f.call.Model); ok {
+			retry = eta
+		}
+	}
+	f.giveUp("no_target", retry)
+}
+
+func (f *flight) logHopeless(pick dispatch.Pick, now time.Time) {
+	f.Log.WithFields(log.Fields{
+		"call": f.call.ID, "best": pick.Target.ID, "expected_ms": pick.Expected.Milliseconds(),
+		"left_ms": f.ends.Sub(now).Milliseconds(), "running": pick.Load.Running,
+		"waiting_ms": pick.Load.Waiting.Milliseconds(),
+	}).Info("passthrough: No target answers in time.")
+}
+
+// adapterWait bounds the wait for an adapter that is being loaded.
+const adapterWait = 400 * time.Millisecond
+
+// withAdapter has the adapter loaded and picks the target that holds it.
+func (f *flight) withAdapter(ctx context.Context, pick dispatch.Pick, service *catalog.Service) (dispatch.Pick, bool) {
+	ctx, cancel := context.WithTimeout(ctx, adapterWait)
+	defer cancel()
+	id, err := f.Residency.EnsureAdapter(ctx, f.service, pick.Target.ID, f.call.Model, f.call.Adapter)
+	if f.r.Context().Err() != nil {
+		f.end("caller_left", f.r.Context().Err())
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		f.Log.WithFields(log.Fields{"call": f.call.ID, "adapter": f.call.Model + "/" + f.call.Adapter}).WithError(err).Info("passthrough: Adapter not loaded.")
+		f.giveUp("no_adapter", noTargetRetry)
+		return dispatch.Pick{}, false
+	}
+	if id == pick.Target.ID {
+		return pick, true
+	}
+	target := f.Fleet.View().Targets[id]
+	if target == nil || !target.Usable() {
+		f.giveUp("no_adapter", noTargetRetry)
+		return dispatch.Pick{}, false
+	}
+	other, ok := f.Board.Pick([]dispatch.Candidate{{Target: target}}, f.query(service, f.Now()))
+	if !ok {
+		f.giveUp("no_adapter", noTargetRetry)
+	}
+	return other, ok
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,440 @@
+// Package peers keeps what instances tell one another: a short status that each
+// sends to all others on change, and the list of instances. Peers are found in
+// the platform's store at the start and then by their greetings.
+package peers
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/dotterellink/dotterellink/internal/allowance"
+	"github.com/dotterellink/dotterellink/internal/dispatch"
+	"github.com/dotterellink/dotterellink/internal/lease"
+	"github.com/dotterellink/dotterellink/internal/mesh"
+)
+
+const (
+	// HeardFor is how long after its last status a peer counts as heard. It is
+	// two missed keep-alives.
+	HeardFor = 1300 * time.Millisecond
+	// keepAlive is the longest time between two statuses.
+	keepAlive = 500 * time.Millisecond
+	// minInterval is the shortest time between two statuses of a small fleet; it
+	// grows by perPeer, so that what an instance receives stays bounded.
+	minInterval = 40 * time.Millisecond
+	perPeer     = 6 * time.Millisecond
+	// fullEvery is the time between statuses that tell all loads anew, for those
+	// that missed one.
+	fullEvery = time.Second
+	// knownFor is how long a peer that is not heard stays in the list.
+	knownFor = 30 * time.Second
+
+	methodStatus = "peers.status"
+	methodList   = "peers.list"
+	// listTimeout bounds the question for a peer's list.
+	listTimeout = 500 * time.Millisecond
+)
+
+// Status is what an instance tells its peers.
+type Status struct {
+	// Run is unique to one run of the instance; Seq rises with each status.
+	Run     string `msgpack:"r"`
+	Seq     uint64 `msgpack:"s"`
+	Zone    string `msgpack:"z"`
+	Address string `msgpack:"a"`
+	Leaving bool   `msgpack:"l,omitempty"`
+	// StateVersion is the version of the state in force; TargetsVersion the
+	// store's at which the list of targets is complete.
+	StateVersion   int64  `msgpack:"v"`
+	TargetsVersion uint64 `msgpack:"tv"`
+
+	Loads  []dispatch.TargetLoad `msgpack:"ld,omitempty"`
+	Read   []dispatch.PartsRead  `msgpack:"rd,omitempty"`
+	Spent  []allowance.Spending  `msgpack:"sp,omitempty"`
+	Demand []ModelDemand         `msgpack:"dm,omitempty"`
+	Held   *HeldLease            `msgpack:"hl,omitempty"`
+	Placed []Placed              `msgpack:"pl,omitempty"`
+}
+
+// ModelDemand is the work for a model that an instance has seen since its start.
+type ModelDemand struct {
+	Service string `msgpack:"s"`
+	Model   string `msgpack:"m"`
+	// WorkMS is the engine time of the work; Unserved counts calls for which no
+	// target held the model.
+	WorkMS   float64 `msgpack:"w"`
+	Unserved uint64  `msgpack:"u,omitempty"`
+}
+
+// HeldLease is the placement lease as its holder last wrote it.
+type HeldLease struct {
+	Record  lease.Record `msgpack:"r"`
+	Version uint64       `msgpack:"v"`
+}
+
+// Placed tells what a target holds and is about to drop, as the holder of the
+// placement lease knows it.
+type Placed struct {
+	TargetID string `msgpack:"t"`
+	BornMS   int64  `msgpack:"b"`
+	// Adapters are MODEL/ADAPTER.
+	Adapters []string `msgpack:"a,omitempty"`
+	// Leaving are models that get no new work.
+	Leaving []string `msgpack:"l,omitempty"`
+	// Coming are models that are being loaded, with the time left at the sender
+	// in milliseconds.
+	Coming map[string]int64 `msgpack:"c,omitempty"`
+}
+
+// Peer is an instance as this one knows it.
+type Peer struct {
+	Name    string
+	Zone    string
+	Address string
+	Run     string
+	Leaving bool
+	HeardAt time.Time
+	KnownAt time.Time
+	// Ended is set once its address refused a connection.
+	Ended bool
+	// seq is the number of the newest status of the run.
+	seq uint64
+}
+
+// Exchange sends the own status and takes those of the peers.
+type Exchange struct {
+	node    *mesh.Node
+	address string
+	log     log.Interface
+	now     func() time.Time
+
+	// Fill completes the status before it is sent; Take gets those of peers, with
+	// whether the peer's run is new to this instance. Changed reports whether
+	// there is something to tell. They are set before Run.
+	Fill    func(s *Status, full bool)
+	Take    func(from Peer, s *Status, newRun bool)
+	Gone    func(p Peer)
+	Changed func() bool
+
+	run     string
+	seq     uint64
+	leaving atomic.Bool
+	poke    chan struct{}
+
+	mu    sync.Mutex
+	known map[string]*Peer
+	names atomic.Pointer[[]string]
+	// sending holds the newest statuses that wait for a slow peer.
+	sending map[string]chan []byte
+}
+
+// pendingStatuses is the number of statuses kept for a peer that reads slowly;
+// later ones are dropped and made up for by the next full one.
+const pendingStatuses = 8
+
+// NewExchange returns an exchange over a mesh that does not run yet.
+func NewExchange(node *mesh.Node, address, run string, logger log.Interface) *Exchange {
+	e := &Exchange{
+		node: node, address: address, run: run, log: logger, now: time.Now,
+		poke: make(chan struct{}, 1), known: make(map[string]*Peer), sending: make(map[string]chan []byte),
+	}
+	e.publishNames()
+	node.OnDialFailed(e.dialFailed)
+	node.Handle(methodStatus, e.takeStatus)
+	mesh.Handle(node, methodList, e.listAsked)
+	return e
+}
+
+// Self returns the name of this instance.
+func (e *Exchange) Self() string { return e.node.Self().Name }
+
+// Names lists the instances that may be alive, self included, sorted.
+func (e *Exchange) Names() []string { return *e.names.Load() }
+
+// publishNames requires e.mu, or that e is not shared yet.
+func (e *Exchange) publishNames() {
+	out := []string{e.node.Self().Name}
+	for name, p := range e.known {
+		if !p.Ended {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	e.names.Store(&out)
+}
+
+// Heard lists the peers whose status came lately.
+func (e *Exchange) Heard() []Peer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	var out []Peer
+	for _, p := range e.known {
+		if !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < HeardFor {
+			out = append(out, *p)
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+type listRequest struct{}
+
+type listAnswer struct {
+	Peers []mesh.PeerAddress `msgpack:"p"`
+}
+
+func (e *Exchange) listAsked(context.Context, mesh.Peer, *listRequest) (*listAnswer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &listAnswer{Peers: e.addresses()}, nil
+}
+
+// Seed dials addresses at which peers may be found, while none is known.
+func (e *Exchange) Seed(addresses []string) {
+	e.mu.Lock()
+	all := e.addresses()
+	e.mu.Unlock()
+	for _, a := range addresses {
+		if a != "" && a != e.address {
+			all = append(all, mesh.PeerAddress{Address: a})
+		}
+	}
+	e.node.SetPeers(all)
+}
+
+// Learn asks the connected peers for those that they know.
+func (e *Exchange) Learn(ctx context.Context) {
+	for _, p := range e.node.Peers() {
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+		answer, err := mesh.Call[listRequest, listAnswer](callCtx, e.node, p.Name, methodList, &listRequest{})
+		cancel()
+		if err != nil {
+			e.log.WithField("peer", p.Name).WithError(err).Info("peers: No list from peer.")
+			continue
+		}
+		e.Add(answer.Peers)
+	}
+}
+
+// Add notes peers by their addresses and keeps connections to them.
+func (e *Exchange) Add(list []mesh.PeerAddress) {
+	e.mu.Lock()
+	now := e.now()
+	for _, p := range list {
+		e.meet(p, now)
+	}
+	e.publishNames()
+	addresses := e.addresses()
+	e.mu.Unlock()
+	e.node.SetPeers(addresses)
+}
+
+// meet requires e.mu.
+func (e *Exchange) meet(p mesh.PeerAddress, now time.Time) {
+	if p.Name == e.Self() || p.Address == "" {
+		return
+	}
+	if old := e.known[p.Name]; old != nil && old.Address == p.Address {
+		return
+	}
+	e.known[p.Name] = &Peer{Name: p.Name, Zone: p.Zone, Address: p.Address, KnownAt: now}
+}
+
+// addresses requires e.mu.
+func (e *Exchange) addresses() []mesh.PeerAddress {
+	var out []mesh.PeerAddress
+	for _, p := range e.known {
+		out = append(out, mesh.PeerAddress{Peer: mesh.Peer{Name: p.Name, Zone: p.Zone}, Address: p.Address})
+	}
+	return out
+}
+
+// dialFailed notes a peer whose address refuses connections: its process has
+// certainly ended.
+func (e *Exchange) dialFailed(p mesh.PeerAddress, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	e.mu.Lock()
+	known := e.known[p.Name]
+	if known == nil || known.Address != p.Address || known.Ended {
+		e.mu.Unlock()
+		return
+	}
+	known.Ended = true
+	e.publishNames()
+	gone := *known
+	e.mu.Unlock()
+	e.log.WithField("peer", p.Name).Info("peers: Peer has ended.")
+	e.Gone(gone)
+}
+
+// takeStatus handles the status of a peer.
+func (e *Exchange) takeStatus(_ context.Context, from mesh.Peer, body []byte) ([]byte, error) {
+	var s Status
+	if err := msgpack.Unmarshal(body, &s); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	now := e.now()
+	p := e.known[from.Name]
+	fresh := p == nil || p.Address != s.Address
+	if fresh {
+		e.meet(mesh.PeerAddress{Peer: mesh.Peer{Name: from.Name, Zone: s.Zone}, Address: s.Address}, now)
+		if p = e.known[from.Name]; p == nil {
+			e.mu.Unlock()
+			return nil, nil
+		}
+	}
+	newRun := p.Run != s.Run
+	if !newRun && s.Seq <= p.seq {
+		// Frames are handled side by side and may overtake each other.
+		e.mu.Unlock()
+		return nil, nil
+	}
+	before := *p
+	p.seq = s.Seq
+	p.Run, p.HeardAt, p.Leaving, p.Zone = s.Run, now, s.Leaving, s.Zone
+	if p.Ended || fresh {
+		p.Ended = false
+		e.publishNames()
+	}
+	peer := *p
+	addresses := e.addresses()
+	e.mu.Unlock()
+	if fresh {
+		e.node.SetPeers(addresses)
+		e.Poke()
+	}
+	if newRun && before.Run != "" {
+		e.Gone(before)
+	}
+	e.Take(peer, &s, newRun)
+	return nil, nil
+}
+
+// Poke has the status sent soon.
+func (e *Exchange) Poke() {
+	select {
+	case e.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Leave tells the peers that this instance is about to end.
+func (e *Exchange) Leave() {
+	e.leaving.Store(true)
+	e.Poke()
+}
+
+// Run sends the status until ctx ends.
+func (e *Exchange) Run(ctx context.Context) error {
+	var sentAt, fullAt time.Time
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		case <-e.poke:
+		}
+		now := e.now()
+		interval := minInterval + perPeer*time.Duration(len(e.Names()))
+		if next := sentAt.Add(interval); now.Before(next) {
+			timer.Reset(next.Sub(now))
+			continue
+		}
+		if e.Changed() || now.Sub(sentAt) >= keepAlive {
+			full := now.Sub(fullAt) >= fullEvery
+			if full {
+				fullAt = now
+				e.forget(now)
+			}
+			e.send(ctx, full)
+			sentAt = now
+		}
+		timer.Reset(keepAlive)
+	}
+}
+
+// send sends one status to all connected peers.
+func (e *Exchange) send(ctx context.Context, full bool) {
+	e.seq++
+	s := &Status{Run: e.run, Seq: e.seq, Zone: e.node.Self().Zone, Address: e.address, Leaving: e.leaving.Load()}
+	e.Fill(s, full)
+	body, err := msgpack.Marshal(s)
+	if err != nil {
+		e.log.WithError(err).Error("peers: Status not encoded.")
+		return
+	}
+	for _, p := range e.node.Peers() {
+		queue := e.sending[p.Name]
+		if queue == nil {
+			queue = make(chan []byte, pendingStatuses)
+			e.sending[p.Name] = queue
+			go e.sendTo(ctx, p.Name, queue)
+		}
+		select {
+		case queue <- body:
+		default:
+		}
+	}
+}
+
+func (e *Exchange) sendTo(ctx context.Context, name string, queue chan []byte) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case body := <-queue:
+			if err := e.node.Notify(name, methodStatus, body); err != nil {
+				e.log.WithField("peer", name).WithError(err).Debug("peers: Status not sent.")
+			}
+		}
+	}
+}
+
+// forget drops peers that were not heard for long.
+func (e *Exchange) forget(now time.Time) {
+	e.mu.Lock()
+	changed := false
+	for name, p := range e.known {
+		last := p.KnownAt
+		if p.HeardAt.After(last) {
+			last = p.HeardAt
+		}
+		if now.Sub(last) > knownFor {
+			delete(e.known, name)
+			changed = true
+		}
+	}
+	if changed {
+		e.publishNames()
+	}
+	addresses := e.addresses()
+	e.mu.Unlock()
+	if changed {
+		e.node.SetPeers(addresses)
+	}
+}
+
+// Known returns the number of instances that may be alive and the number of
+// those heard, self included in both.
+func (e *Exchange) Known() (known, heard int) {
+	return len(e.Names()), 1 + len(e.Heard())
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -29,6 +29,9 @@
 	// ErrOutcomeUnknown means that a write was sent but its answer was lost, so
 	// that it may or may not have taken effect.
 	ErrOutcomeUnknown = merry.Sentinel("platform: outcome of write unknown")
+	// ErrHistoryGone means that the changes asked for are no longer kept, so
+	// that the objects have to be listed anew.
+	ErrHistoryGone = merry.Sentinel("platform: history is gone")
 	// ErrTooLarge means that the value exceeds MaxValueBytes.
 	ErrTooLarge = merry.Sentinel("platform: value exceeds 1 MiB")
 )
--- /dev/null
+++ b/internal/residency/adapters.go
@@ -0,0 +1,189 @@
+package residency
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/dotterellink/dotterellink/internal/call"
+	"github.com/dotterellink/dotterellink/internal/catalog"
+	"github.com/dotterellink/dotterellink/internal/mesh"
+)
+
+const (
+	methodAdapter = "residency.adapter"
+	// adapterSettle is the time that an adapter's load takes, as a rule.
+	adapterSettle = 15 * time.Millisecond
+	// adapterIdle is how long an adapter must not have been asked for before it
+	// makes way for another.
+	adapterIdle = 2 * time.Second
+	// adapterTries is the number of targets that are tried for an adapter.
+	adapterTries = 3
+)
+
+// Errors of adapters.
+var (
+	// ErrNoHolder means that no instance gives orders at the moment.
+	ErrNoHolder = merry.Sentinel("residency: no holder of the placement lease")
+	// ErrNoPlace means that no target can take the adapter now.
+	ErrNoPlace = merry.Sentinel("residency: no place for the adapter")
+)
+
+// AdapterRequest asks the holder of the placement lease for an adapter.
+type AdapterRequest struct {
+	Service string `msgpack:"s"`
+	// Preferred is the target at which the caller of the adapter would be served
+	// first.
+	Preferred string `msgpack:"p"`
+	Model     string `msgpack:"m"`
+	Adapter   string `msgpack:"a"`
+}
+
+// AdapterAnswer names the target that holds the adapter.
+type AdapterAnswer struct {
+	TargetID string `msgpack:"t"`
+	BornMS   int64  `msgpack:"b"`
+}
+
+// EnsureAdapter has an adapter loaded, at the preferred target if it can take
+// it, and returns the target that holds it.
+func (k *Keeper) EnsureAdapter(ctx context.Context, service, preferred, model, adapter string) (string, error) {
+	request := &AdapterRequest{Service: service, Preferred: preferred, Model: model, Adapter: adapter}
+	var answer *AdapterAnswer
+	var err error
+	switch holder := k.holding.Holder(); holder {
+	case "":
+		return "", merry.Wrap(ErrNoHolder)
+	case k.node.Self().Name:
+		answer, err = k.place(ctx, request)
+	default:
+		answer, err = mesh.Call[AdapterRequest, AdapterAnswer](ctx, k.node, holder, methodAdapter, request)
+	}
+	if err != nil {
+		return "", err
+	}
+	k.view.AdapterLoaded(answer.TargetID, answer.BornMS, model+"/"+adapter)
+	return answer.TargetID, nil
+}
+
+func (k *Keeper) adapterAsked(ctx context.Context, _ mesh.Peer, r *AdapterRequest) (*AdapterAnswer, error) {
+	return k.place(ctx, r)
+}
+
+// place loads the adapter at the first target that takes it.
+func (k *Keeper) place(ctx context.Context, r *AdapterRequest) (*AdapterAnswer, error) {
+	if _, ok := k.holding.Held(); !ok {
+		return nil, merry.Wrap(ErrNoHolder)
+	}
+	state := k.catalog.Current()
+	if state == nil || state.Services[r.Service] == nil || state.Services[r.Service].Engine == nil {
+		return nil, merry.Wrap(ErrNoPlace, merry.AppendMessage("no such service"))
+	}
+	engine := state.Services[r.Service].Engine
+	tried := 0
+	for _, m := range k.adapterTargets(r) {
+		if ctx.Err() != nil || tried == adapterTries {
+			break
+		}
+		tried++
+		if answer := k.placeAt(m, r, engine); answer != nil {
+			return answer, nil
+		}
+	}
+	return nil, merry.Wrap(ErrNoPlace, merry.AppendMessagef("%d targets tried", tried))
+}
+
+// adapterTargets lists the targets that hold the model: the preferred one first,
+// then those with the adapter, then the least loaded.
+func (k *Keeper) adapterTargets(r *AdapterRequest) []*managed {
+	usable := make(map[string]bool)
+	for _, t := range k.fleet.View().ByService[r.Service] {
+		usable[t.ID] = true
+	}
+	type ranked struct {
+		m    *managed
+		rank time.Duration
+	}
+	var list []ranked
+	for _, m := range k.ofService(r.Service) {
+		m.mu.Lock()
+		holds := usable[m.target.ID] && m.known && !m.busy && slices.Contains(m.models, r.Model) &&
+			(m.move == nil || m.move.Unload != r.Model)
+		_, has := m.adapters[r.Model+"/"+r.Adapter]
+		id := m.target.ID
+		m.mu.Unlock()
+		if !holds {
+			continue
+		}
+		rank := k.work(id)
+		switch {
+		case id == r.Preferred:
+			rank = -2
+		case has:
+			rank = -1
+		}
+		list = append(list, ranked{m, rank})
+	}
+	slices.SortStableFunc(list, func(a, b ranked) int { return int(a.rank - b.rank) })
+	out := make([]*managed, 0, len(list))
+	for _, l := range list {
+		out = append(out, l.m)
+	}
+	return out
+}
+
+// placeAt loads the adapter at one target. A nil answer means that another one
+// has to be tried.
+func (k *Keeper) placeAt(m *managed, r *AdapterRequest, engine *catalog.Engine) *AdapterAnswer {
+	m.mu.Lock()
+	name := r.Model + "/" + r.Adapter
+	answer := &AdapterAnswer{TargetID: m.target.ID, BornMS: m.target.BornMS}
+	if _, has := m.adapters[name]; has {
+		m.adapters[name] = k.now()
+		m.mu.Unlock()
+		return answer
+	}
+	if m.adapterCount() >= engine.AdapterSlots && !k.evict(m) {
+		m.mu.Unlock()
+		return nil
+	}
+	result := k.order(m, call.Order{Kind: call.LoadAdapter, Model: r.Model, Adapter: r.Adapter, ExpectedOrders: m.orders})
+	m.mu.Unlock()
+	switch result {
+	case call.OrderHolds:
+		return answer
+	case call.OrderAccepted:
+		k.poke()
+		time.Sleep(adapterSettle)
+		return answer
+	}
+	return nil
+}
+
+// evict requires m.mu. It unloads the adapter that was asked for longest ago.
+func (k *Keeper) evict(m *managed) bool {
+	name := m.oldestAdapter(k.now().Add(-adapterIdle))
+	if name == "" {
+		return false
+	}
+	model, adapter := cutAdapter(name)
+	result := k.order(m, call.Order{Kind: call.UnloadAdapter, Model: model, Adapter: adapter, ExpectedOrders: m.orders})
+	return result == call.OrderAccepted || result == call.OrderHolds
+}
+
+// AdapterUsed notes that a call uses an adapter at a target.
+func (k *Keeper) AdapterUsed(targetID, name string) {
+	k.mu.Lock()
+	m := k.targets[targetID]
+	k.mu.Unlock()
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.adapters[name]; ok {
+		m.adapters[name] = k.now()
+	}
+}
--- /dev/null
+++ b/internal/residency/holder.go
@@ -0,0 +1,241 @@
+package residency
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/dotterellink/dotterellink/internal/boottime"
+	"github.com/dotterellink/dotterellink/internal/lease"
+	"github.com/dotterellink/dotterellink/internal/peers"
+	"github.com/dotterellink/dotterellink/internal/platform"
+)
+
+const (
+	// leaseKey is the object of the placement lease.
+	leaseKey = "leases/placement"
+	// leaseDuration and renewEvery keep the gap after a lost holder short. Each
+	// renewal is one priced call.
+	leaseDuration = 2 * time.Second
+	renewEvery    = 700 * time.Millisecond
+	// readAgain is the time between reads of a lease that no peer tells of.
+	readAgain = time.Second
+	// maxRank bounds the delay of candidates behind the first.
+	maxRank = 4
+	// orderMargin is the rest of a lease that an order needs: the order must
+	// arrive before the lease ends.
+	orderMargin = 300 * time.Millisecond
+	// storeTimeout bounds a write of the lease with the settling of its outcome.
+	storeTimeout = 900 * time.Millisecond
+	// settleMargin is added to the time that two holders have to keep apart.
+	settleMargin = 200 * time.Millisecond
+)
+
+// Holding keeps the placement lease of one instance. What the holder tells over
+// the mesh stands for reads of the store: a takeover is a conditional write, so
+// that one based on old word fails. It is safe for concurrent use.
+type Holding struct {
+	objects platform.Objects
+	self    string
+	session string
+	names   func() []string
+	log     log.Interface
+	now     func() time.Time
+	// apart is the time that orders of two holders have to lie apart.
+	apart time.Duration
+
+	mu     sync.Mutex
+	state  *lease.State
+	readAt time.Time
+	// orderableAt is when this holder may give its first order.
+	orderableAt time.Time
+	stopping    bool
+	wasHeld     bool
+}
+
+// NewHolding returns a holding of nothing. Two holders' orders lie at least
+// apart from each other.
+func NewHolding(objects platform.Objects, self, session string, apart time.Duration, names func() []string, logger log.Interface) *Holding {
+	return &Holding{
+		objects: objects, self: self, session: session, names: names, log: logger, now: boottime.Now, apart: apart,
+		state: lease.NewTimedState(self, session, lease.Timing{Duration: leaseDuration, RenewEvery: renewEvery}),
+	}
+}
+
+// Heard takes what the holder told of its lease.
+func (h *Holding) Heard(l peers.HeldLease) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state.Observe(l.Record, l.Version, h.now())
+	h.readAt = h.now()
+}
+
+// Told returns the lease to be told to peers, or nil if it is not held.
+func (h *Holding) Told() *peers.HeldLease {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.state.Held(h.now()) {
+		return nil
+	}
+	record, version := h.state.Newest()
+	return &peers.HeldLease{Record: record, Version: version}
+}
+
+// Held reports whether orders may be given now, and the fencing token.
+func (h *Holding) Held() (token uint64, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	ok = !h.stopping && h.state.Held(now.Add(orderMargin)) && !now.Before(h.orderableAt)
+	return h.state.Token(), ok
+}
+
+// Holder returns the instance that holds the lease as far as known.
+func (h *Holding) Holder() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.Holder()
+}
+
+// rank orders the candidates; the first takes the lease over without delay.
+func (h *Holding) rank() int {
+	return min(maxRank, max(0, slices.Index(h.names(), h.self)))
+}
+
+// tickInterval is the time between two looks at the lease.
+const tickInterval = 100 * time.Millisecond
+
+// Run keeps the lease until ctx ends.
+func (h *Holding) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		h.Tick(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// Tick reads or writes the lease if that is due.
+func (h *Holding) Tick(ctx context.Context) {
+	h.mu.Lock()
+	now := h.now()
+	held := h.state.Held(now)
+	if h.wasHeld && !held {
+		h.log.WithField("token", h.state.Token()).Warn("residency: Placement lease lost.")
+	}
+	h.wasHeld = held
+	if h.stopping {
+		h.mu.Unlock()
+		return
+	}
+	due := !held && (h.readAt.IsZero() || now.Sub(h.readAt) >= readAgain)
+	rank := h.rank()
+	if held {
+		// The holder keeps its lease, whatever its rank.
+		rank = 0
+	}
+	action := h.state.Next(now, rank)
+	h.mu.Unlock()
+	switch {
+	case action == lease.Acquire || action == lease.Renew:
+		h.write(ctx, action)
+	case due:
+		h.read(ctx)
+	}
+}
+
+// read looks the lease up in the store.
+func (h *Holding) read(ctx context.Context) {
+	object, err := h.objects.Get(ctx, leaseKey)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.readAt = h.now()
+	if errors.Is(err, platform.ErrNotFound) {
+		h.state.Observe(lease.Record{}, 0, h.now())
+		return
+	}
+	if err != nil {
+		h.log.WithError(err).Debug("residency: Placement lease not read.")
+		return
+	}
+	var r lease.Record
+	if err := json.Unmarshal(object.Value, &r); err != nil {
+		h.log.WithError(err).Warn("residency: Placement lease unreadable.")
+		return
+	}
+	h.state.Observe(r, uint64(object.Version), h.now())
+}
+
+// write acquires, renews or releases the lease.
+func (h *Holding) write(ctx context.Context, action lease.Action) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	h.mu.Lock()
+	record, version := h.state.Proposed(action)
+	sentAt := h.now()
+	h.mu.Unlock()
+	value, err := json.Marshal(record)
+	if err != nil {
+		h.log.WithError(err).Error("residency: Placement lease not encoded.")
+		return
+	}
+	object, err := h.put(ctx, value, version, record)
+	if err != nil {
+		h.log.WithField("action", int(action)).WithError(err).Info("residency: Placement lease not written.")
+		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) {
+			h.read(ctx)
+		}
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	h.state.Wrote(action, record, uint64(object.Version), sentAt, now)
+	if action == lease.Acquire {
+		h.orderableAt = now
+		if record.Token > 1 {
+			h.orderableAt = h.state.FreeSince().Add(h.apart + settleMargin)
+		}
+		h.log.WithField("token", record.Token).Info("residency: Placement lease acquired.")
+	}
+}
+
+// put writes the record and learns the outcome of a write without an answer.
+func (h *Holding) put(ctx context.Context, value []byte, version uint64, record lease.Record) (platform.Object, error) {
+	object, err := h.objects.Put(ctx, leaseKey, value, platform.Version(version))
+	for errors.Is(err, platform.ErrOutcomeUnknown) && ctx.Err() == nil {
+		object, err = h.objects.Put(ctx, leaseKey, value, platform.Version(version))
+		if !errors.Is(err, platform.ErrConflict) {
+			continue
+		}
+		stored, readErr := h.objects.Get(ctx, leaseKey)
+		if readErr != nil {
+			return object, readErr
+		}
+		var r lease.Record
+		if json.Unmarshal(stored.Value, &r) == nil && r.Session == h.session && r.Renewal == record.Renewal {
+			return stored, nil
+		}
+	}
+	return object, err
+}
+
+// Release hands the lease over at a planned stop.
+func (h *Holding) Release(ctx context.Context) {
+	h.mu.Lock()
+	held := h.state.Held(h.now())
+	h.stopping = true
+	h.mu.Unlock()
+	if held {
+		h.write(ctx, lease.Release)
+	}
+}
--- /dev/null
+++ b/internal/residency/keeper.go
@@ -0,0 +1,455 @@
+package residency
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dotterellink/dotterellink/internal/call"
+	"github.com/dotterellink/dotterellink/internal/catalog"
+	"github.com/dotterellink/dotterellink/internal/fleet"
+	"github.com/dotterellink/dotterellink/internal/mesh"
+	"github.com/dotterellink/dotterellink/internal/peers"
+)
+
+const (
+	// keepInterval is the time between two looks at placement.
+	keepInterval = 150 * time.Millisecond
+	// reportEvery is the time between reports of a target at rest; askAgain of
+	// one whose state is in doubt. Each report is priced as a probe.
+	reportEvery = 1500 * time.Millisecond
+	askAgain    = 250 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = 400 * time.Millisecond
+	// storeLoadBurst is the number of loads from the weight store that may begin
+	// at once, beyond its steady rate. The bound of the store allows three more.
+	storeLoadBurst = 2.0
+	// fastLoad is the expected time of a load from the target's own copies.
+	fastLoad = 800 * time.Millisecond
+)
+
+// Keeper carries placement out while this instance holds the lease. It is safe
+// for concurrent use.
+//
+// Lock order: managed.mu is taken without Keeper.mu held.
+type Keeper struct {
+	holding  *Holding
+	operator call.TargetOperator
+	fleet    *fleet.Table
+	catalog  *catalog.Holder
+	demand   *Demand
+	view     *View
+	node     *mesh.Node
+	log      log.Interface
+	now      func() time.Time
+	metrics  keeperMetrics
+	poke     func()
+	// work returns the load of a target, for choosing among equals.
+	work func(id string) time.Duration
+
+	mu      sync.Mutex
+	targets map[string]*managed
+	// loads is the number of loads from the weight store that may begin, by
+	// service.
+	loads map[string]*loadBudget
+	token uint64
+}
+
+type loadBudget struct {
+	left float64
+	at   time.Time
+}
+
+type keeperMetrics struct{ orders, reports, refused prometheus.Counter }
+
+// KeeperConfig holds what a keeper is made of.
+type KeeperConfig struct {
+	Holding  *Holding
+	Operator call.TargetOperator
+	Fleet    *fleet.Table
+	Catalog  *catalog.Holder
+	Demand   *Demand
+	View     *View
+	Node     *mesh.Node
+	Log      log.Interface
+	Metrics  prometheus.Registerer
+	// Poke has the status of this instance sent soon.
+	Poke func()
+	// Work returns the load of a target.
+	Work func(id string) time.Duration
+}
+
+// NewKeeper returns a keeper and makes it answer peers that need an adapter.
+func NewKeeper(c KeeperConfig) *Keeper {
+	k := &Keeper{
+		holding: c.Holding, operator: c.Operator, fleet: c.Fleet, catalog: c.Catalog, demand: c.Demand, view: c.View,
+		node: c.Node, log: c.Log, now: time.Now, poke: c.Poke, work: c.Work,
+		targets: make(map[string]*managed), loads: make(map[string]*loadBudget),
+		metrics: keeperMetrics{
+			orders:  prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_orders_total", Help: "Orders sent to targets."}),
+			reports: prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_reports_total", Help: "Reports asked of targets."}),
+			refused: prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_orders_refused_total", Help: "Orders that targets refused."}),
+		},
+	}
+	c.Metrics.MustRegister(k.metrics.orders, k.metrics.reports, k.metrics.refused)
+	mesh.Handle(c.Node, methodAdapter, k.adapterAsked)
+	return k
+}
+
+// Run keeps the placement until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	ticker := time.NewTicker(keepInterval)
+	defer ticker.Stop()
+	for {
+		if token, ok := k.holding.Held(); ok {
+			k.keep(token)
+		} else {
+			k.rest()
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// rest forgets what another holder may change.
+func (k *Keeper) rest() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.targets) > 0 {
+		k.targets = make(map[string]*managed)
+		k.loads = make(map[string]*loadBudget)
+	}
+}
+
+// keep looks at all targets of engine services once.
+func (k *Keeper) keep(token uint64) {
+	state := k.catalog.Current()
+	if state == nil {
+		return
+	}
+	k.mu.Lock()
+	k.token = token
+	k.mu.Unlock()
+	view := k.fleet.View()
+	k.track(view, state)
+	now := k.now()
+	for name, service := range state.Services {
+		if service.Engine == nil {
+			continue
+		}
+		list := k.ofService(name)
+		k.refresh(list, now)
+		k.planService(name, service.Engine, view, list, now)
+		k.advanceAll(list, service.Engine)
+	}
+}
+
+// track follows the list of targets.
+func (k *Keeper) track(view *fleet.View, state *catalog.State) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id, t := range view.Targets {
+		service := state.Services[t.Service]
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		m := k.targets[id]
+		if m == nil {
+			k.targets[id] = &managed{target: t, adapters: make(map[string]time.Time), changed: true}
+			continue
+		}
+		m.mu.Lock()
+		if m.target.BornMS != t.BornMS {
+			m.known, m.orders, m.move, m.models = false, 0, nil, nil
+			m.adapters, m.busy, m.acceptedAt, m.sentAt = make(map[string]time.Time), false, time.Time{}, time.Time{}
+			m.changed = true
+		}
+		m.target = t
+		m.mu.Unlock()
+	}
+	for id := range k.targets {
+		if view.Targets[id] == nil {
+			delete(k.targets, id)
+		}
+	}
+}
+
+func (k *Keeper) ofService(service string) []*managed {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []*managed
+	for _, m := range k.targets {
+		if m.target.Service == service {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *managed) int {
+		if a.target.ID < b.target.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// refresh asks the targets whose knowledge is old for their state.
+func (k *Keeper) refresh(list []*managed, now time.Time) {
+	var group sync.WaitGroup
+	for _, m := range list {
+		m.mu.Lock()
+		age := now.Sub(m.askedAt)
+		due := age >= reportEvery || age >= askAgain && (!m.known || m.busy || m.move != nil)
+		t := m.target
+		if due {
+			// An unanswered question is not asked again at once.
+			m.askedAt = now
+		}
+		m.mu.Unlock()
+		if due {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				k.ask(m, t)
+			}()
+		}
+	}
+	group.Wait()
+}
+
+// ask reads the report of one target.
+func (k *Keeper) ask(m *managed, t *fleet.Target) {
+	asked := k.now()
+	k.metrics.reports.Inc()
+	r, err := k.operator.Report(t.Address, t.ID, reportTimeout)
+	if err != nil {
+		k.log.WithField("target", t.ID).WithError(err).Info("residency: No report from target.")
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.observe(r, asked)
+}
+
+// planService makes moves for the targets of one service.
+func (k *Keeper) planService(service string, engine *catalog.Engine, view *fleet.View, list []*managed, now time.Time) {
+	s := Situation{Engine: engine, Coming: make(map[string]int), StoreLoads: k.loadsLeft(service, engine, now)}
+	s.Demand, s.Wanted = k.demand.Rates(service, now)
+	byID := make(map[string]*managed, len(list))
+	for _, m := range list {
+		byID[m.target.ID] = m
+		m.mu.Lock()
+		if m.finished(now) {
+			k.logMove(m, now)
+			m.move, m.changed = nil, true
+		}
+		s.Slots = append(s.Slots, k.slot(m, view, now))
+		if m.move != nil && !slices.Contains(m.models, m.move.Load) {
+			s.Coming[m.move.Load]++
+		}
+		m.mu.Unlock()
+	}
+	for _, step := range Plan(s) {
+		k.begin(byID[step.TargetID], step, engine, now)
+	}
+}
+
+// slot requires m.mu.
+func (k *Keeper) slot(m *managed, view *fleet.View, now time.Time) Slot {
+	held := slices.Clone(m.models)
+	if !m.known {
+		for _, a := range m.target.Models {
+			held = append(held, a.Name)
+		}
+	}
+	if m.move != nil {
+		held = slices.DeleteFunc(held, func(name string) bool { return name == m.move.Unload })
+	}
+	return Slot{
+		TargetID: m.target.ID, Zone: m.target.Zone, Held: held, AtHand: m.atHand,
+		Free:    m.fresh(now) && m.move == nil,
+		Leaving: !m.target.Usable() || view.Evacuated[m.target.Zone],
+		Work:    k.work(m.target.ID),
+	}
+}
+
+// loadsLeft returns the number of loads from the weight store that may begin.
+func (k *Keeper) loadsLeft(service string, engine *catalog.Engine, now time.Time) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b := k.loads[service]
+	if b == nil {
+		// Loads of the holder before are not known: the first one waits.
+		b = &loadBudget{at: now}
+		k.loads[service] = b
+	}
+	b.left = math.Min(storeLoadBurst, b.left+now.Sub(b.at).Seconds()*engine.LoadsPerSecond)
+	b.at = now
+	if engine.LoadsPerSecond <= 0 {
+		return len(k.targets)
+	}
+	return int(b.left)
+}
+
+func (k *Keeper) begin(m *managed, step Step, engine *catalog.Engine, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.move = &move{Step: step, startedAt: now, eta: fastLoad}
+	if step.FromStore {
+		m.move.eta = engine.Models[step.Load].LoadTime
+		k.mu.Lock()
+		if b := k.loads[m.target.Service]; b != nil {
+			b.left--
+		}
+		k.mu.Unlock()
+	}
+	m.changed = true
+	k.poke()
+	k.log.WithFields(log.Fields{
+		"target": m.target.ID, "load": step.Load, "unload": step.Unload, "from_store": step.FromStore, "orders": m.orders,
+	}).Info("residency: Move begins.")
+}
+
+// logMove requires m.mu.
+func (k *Keeper) logMove(m *managed, now time.Time) {
+	k.log.WithFields(log.Fields{
+		"target": m.target.ID, "load": m.move.Load, "unload": m.move.Unload,
+		"held": slices.Contains(m.models, m.move.Load), "after_ms": now.Sub(m.move.startedAt).Milliseconds(),
+	}).Info("residency: Move ended.")
+}
+
+// advanceAll gives the orders that are due, side by side: an unreachable target
+// must not hold up the others.
+func (k *Keeper) advanceAll(list []*managed, engine *catalog.Engine) {
+	var group sync.WaitGroup
+	for _, m := range list {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			k.advance(m, engine)
+		}()
+	}
+	group.Wait()
+}
+
+// advance gives the order that the move of a target needs next.
+func (k *Keeper) advance(m *managed, engine *catalog.Engine) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := k.now()
+	o, ok := m.due(now)
+	if !ok || o.Kind == call.LoadModel && !k.fits(m, o.Model, engine) {
+		return
+	}
+	m.sentAt = now
+	if k.order(m, o) == call.OrderAccepted && o.Kind == call.LoadModel {
+		m.move.loadFrom = now
+	}
+}
+
+// fits requires m.mu. It checks the memory of the target once more before a
+// load: too much of it ends the target.
+func (k *Keeper) fits(m *managed, model string, engine *catalog.Engine) bool {
+	slot := Slot{Held: m.models}
+	p := planning{Situation: Situation{Engine: engine}}
+	return p.room(slot, "") >= engine.Models[model].WeightsMB
+}
+
+// order requires m.mu. It gives one order if the lease is held.
+func (k *Keeper) order(m *managed, o call.Order) call.OrderResult {
+	token, ok := k.holding.Held()
+	if !ok {
+		return call.OrderRefused
+	}
+	o.Holder, o.Fence = k.node.Self().Name, token
+	k.metrics.orders.Inc()
+	result, err := k.operator.Order(m.target.Address, m.target.ID, o, orderTimeout)
+	fields := log.Fields{
+		"target": m.target.ID, "kind": int(o.Kind), "model": o.Model, "adapter": o.Adapter,
+		"expected": o.ExpectedOrders, "token": token, "result": int(result),
+	}
+	if err != nil {
+		k.metrics.refused.Inc()
+		k.log.WithFields(fields).WithError(err).Info("residency: Order without effect yet.")
+		m.askedAt = time.Time{}
+		return result
+	}
+	k.log.WithFields(fields).Info("residency: Order given.")
+	m.accepted(o, result, k.now())
+	return result
+}
+
+// Told returns what the targets hold, for the status of this instance.
+func (k *Keeper) Told(full bool) []peers.Placed {
+	k.mu.Lock()
+	list := make([]*managed, 0, len(k.targets))
+	for _, m := range k.targets {
+		list = append(list, m)
+	}
+	k.mu.Unlock()
+	now := k.now()
+	var out []peers.Placed
+	for _, m := range list {
+		// A target that is being given an order is told of next time.
+		if !m.mu.TryLock() {
+			continue
+		}
+		if m.known && (m.changed || full) {
+			out = append(out, m.told(now))
+			m.changed = false
+		}
+		m.mu.Unlock()
+	}
+	for _, p := range out {
+		k.view.Apply(p)
+	}
+	return out
+}
+
+// told requires m.mu.
+func (m *managed) told(now time.Time) peers.Placed {
+	p := peers.Placed{TargetID: m.target.ID, BornMS: m.target.BornMS}
+	for name := range m.adapters {
+		p.Adapters = append(p.Adapters, name)
+	}
+	slices.Sort(p.Adapters)
+	if m.move != nil {
+		if m.move.Unload != "" {
+			p.Leaving = []string{m.move.Unload}
+		}
+		left := m.move.eta
+		if !m.move.loadFrom.IsZero() {
+			left = max(0, left-now.Sub(m.move.loadFrom))
+		}
+		p.Coming = map[string]int64{m.move.Load: left.Milliseconds()}
+	}
+	return p
+}
+
+// Pending reports whether Told has changes.
+func (k *Keeper) Pending() bool {
+	k.mu.Lock()
+	list := make([]*managed, 0, len(k.targets))
+	for _, m := range k.targets {
+		list = append(list, m)
+	}
+	k.mu.Unlock()
+	for _, m := range list {
+		if !m.mu.TryLock() {
+			continue
+		}
+		changed := m.known && m.changed
+		m.mu.Unlock()
+		if changed {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/residency/view.go
@@ -0,0 +1,135 @@
+// Package residency decides which model and adapter lives on which target, has
+// that carried out by the holder of the placement lease, and tells all instances
+// what a target holds beyond its own announcement.
+package residency
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dotterellink/dotterellink/internal/fleet"
+	"github.com/dotterellink/dotterellink/internal/peers"
+)
+
+// View is what an instance believes that targets hold. It is safe for concurrent
+// use.
+type View struct {
+	mu      sync.Mutex
+	targets map[string]*placed
+	now     func() time.Time
+}
+
+// placed is what the holder of the placement lease told of one target.
+type placed struct {
+	bornMS   int64
+	adapters map[string]bool
+	leaving  []string
+	// coming gives the time at which a model is expected to be loaded.
+	coming map[string]time.Time
+}
+
+// NewView returns a view that knows nothing beyond announcements.
+func NewView() *View { return &View{targets: make(map[string]*placed), now: time.Now} }
+
+// Apply takes what the holder of the placement lease tells of a target.
+func (v *View) Apply(p peers.Placed) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.now()
+	next := &placed{bornMS: p.BornMS, adapters: make(map[string]bool, len(p.Adapters)), leaving: p.Leaving, coming: make(map[string]time.Time)}
+	for _, a := range p.Adapters {
+		next.adapters[a] = true
+	}
+	for model, ms := range p.Coming {
+		next.coming[model] = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	v.targets[p.TargetID] = next
+}
+
+// AdapterLoaded notes that a target holds an adapter.
+func (v *View) AdapterLoaded(targetID string, bornMS int64, adapter string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p := v.targets[targetID]
+	if p == nil || p.bornMS != bornMS {
+		p = &placed{bornMS: bornMS, adapters: make(map[string]bool)}
+		v.targets[targetID] = p
+	}
+	p.adapters[adapter] = true
+}
+
+// Holds reports whether the target holds the model and, if one is asked for,
+// the adapter. Plain calls ask for no model, which all targets hold.
+func (v *View) Holds(t *fleet.Target, model, adapter string) (hasModel, hasAdapter bool) {
+	if model == "" {
+		return true, true
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p := v.targets[t.ID]
+	if p != nil && p.bornMS != t.BornMS {
+		p = nil
+	}
+	if !t.Holds(model) || p != nil && slices.Contains(p.leaving, model) {
+		return false, false
+	}
+	if adapter == "" {
+		return true, true
+	}
+	if p != nil {
+		return true, p.adapters[model+"/"+adapter]
+	}
+	return true, announcesAdapter(t, model, adapter)
+}
+
+func announcesAdapter(t *fleet.Target, model, adapter string) bool {
+	for _, m := range t.Models {
+		if m.Name == model {
+			return slices.Contains(m.Adapters, adapter)
+		}
+	}
+	return false
+}
+
+// Lost notes that a target turned out not to hold an adapter.
+func (v *View) Lost(targetID, adapter string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if p := v.targets[targetID]; p != nil {
+		delete(p.adapters, adapter)
+	}
+}
+
+// ExpectedLoad returns the time until one of the targets holds the model, or
+// false if no load of it is under way.
+func (v *View) ExpectedLoad(targets []*fleet.Target, model string) (time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.now()
+	var best time.Duration
+	found := false
+	for _, t := range targets {
+		p := v.targets[t.ID]
+		if p == nil || p.bornMS != t.BornMS {
+			continue
+		}
+		if at, ok := p.coming[model]; ok {
+			if left := max(0, at.Sub(now)); !found || left < best {
+				best, found = left, true
+			}
+		}
+	}
+	return best, found
+}
+
+// Forget drops targets that are no longer listed.
+func (v *View) Forget(listed func(id string) bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id := range v.targets {
+		if !listed(id) {
+			delete(v.targets, id)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -149,25 +149,34 @@
 
 // Parse reads and checks settings. The path appears in errors only.
 func Parse(path string, data []byte) (Settings, error) {
+	s := Default()
+	if err := Decode(path, data, &s); err != nil {
+		return Settings{}, err
+	}
+	for _, p := range s.problems() {
+		line := lineOfField(data, p.field)
+		return Settings{}, merry.Wrap(ErrInvalid, merry.AppendMessagef("%s:%d: %s: %s", path, line, p.field, p.message))
+	}
+	return s, nil
+}
+
+// Decode reads JSON with comments into a struct and refuses unknown fields. Its
+// errors wrap ErrInvalid and name the line; the path appears in them only.
+func Decode(path string, data []byte, into any) error {
 	standard, err := hujson.Standardize(bytes.Clone(data))
 	if err != nil {
-		return Settings{}, merry.Wrap(ErrInvalid, merry.AppendMessagef("%s: %v", path, err))
+		return merry.Wrap(ErrInvalid, merry.AppendMessagef("%s: %v", path, err))
 	}
-	s := Default()
 	decoder := json.NewDecoder(bytes.NewReader(standard))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		return Settings{}, decodeError(path, standard, decoder.InputOffset(), err)
+	if err := decoder.Decode(into); err != nil {
+		return decodeError(path, standard, decoder.InputOffset(), err)
 	}
 	if _, err := decoder.Token(); err == nil {
 		line := lineAt(standard, decoder.InputOffset())
-		return Settings{}, merry.Wrap(ErrInvalid, merry.AppendMessagef("%s:%d: text after the settings", path, line))
+		return merry.Wrap(ErrInvalid, merry.AppendMessagef("%s:%d: text after the settings", path, line))
 	}
-	for _, p := range s.problems() {
-		line := lineOfField(standard, p.field)
-		return Settings{}, merry.Wrap(ErrInvalid, merry.AppendMessagef("%s:%d: %s: %s", path, line, p.field, p.message))
-	}
-	return s, nil
+	return nil
 }
 
 // problem is one bad value. The field is its path, joined by dots.
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,188 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sys/unix"
+)
+
+// pools keeps idle connections by target. The newest is used first.
+type pools struct {
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// open counts connections by target, idle ones included.
+	open map[string]int
+}
+
+// NewClient returns a client without connections.
+func NewClient(registerer prometheus.Registerer) *Client {
+	return &Client{
+		pools:   &pools{idle: make(map[string][]*conn), open: make(map[string]int)},
+		metrics: newMetrics(registerer),
+		now:     time.Now,
+	}
+}
+
+// Open returns the number of connections to a target.
+func (c *Client) Open(targetID, address string) int {
+	c.pools.mu.Lock()
+	defer c.pools.mu.Unlock()
+	return c.pools.open[poolKey(targetID, address)]
+}
+
+// HasIdle reports whether a call with the given bound on idle time needs no new
+// connection.
+func (c *Client) HasIdle(targetID, address string) bool {
+	c.pools.mu.Lock()
+	defer c.pools.mu.Unlock()
+	return len(c.pools.idle[poolKey(targetID, address)]) > 0
+}
+
+func poolKey(targetID, address string) string { return targetID + "@" + address }
+
+// connection returns an idle connection that is sound, or a new one.
+func (c *Client) connection(ctx context.Context, r *Request) (*conn, error) {
+	key := poolKey(r.TargetID, r.Address)
+	for {
+		cn := c.pools.take(key)
+		if cn == nil {
+			return c.dial(ctx, key, r.Address)
+		}
+		idle := c.now().Sub(cn.idleSince)
+		if idle <= min(cn.idleFor, r.MaxIdle) && isQuiet(cn.Conn) {
+			c.metrics.reused.Inc()
+			return cn, nil
+		}
+		c.pools.drop(cn)
+	}
+}
+
+func (c *Client) dial(ctx context.Context, key, address string) (*conn, error) {
+	dialer := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveProbes},
+		Control:         SetUnackedTimeout(unackedTimeout),
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		c.metrics.dialFailed.Inc()
+		return nil, err
+	}
+	c.metrics.dialed.Inc()
+	cn := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), key: key, idleFor: defaultIdle}
+	c.pools.mu.Lock()
+	c.pools.open[key]++
+	c.pools.mu.Unlock()
+	return cn, nil
+}
+
+// readBuffer holds the head of an answer and some events, in bytes.
+const readBuffer = 4 << 10
+
+func (p *pools) take(key string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[key]
+	if len(list) == 0 {
+		return nil
+	}
+	cn := list[len(list)-1]
+	p.idle[key] = list[:len(list)-1]
+	return cn
+}
+
+func (p *pools) put(cn *conn, now time.Time) {
+	_ = cn.SetDeadline(time.Time{})
+	cn.idleSince = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[cn.key] = append(p.idle[cn.key], cn)
+}
+
+func (p *pools) drop(cn *conn) {
+	cn.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[cn.key]--; p.open[cn.key] <= 0 {
+		delete(p.open, cn.key)
+	}
+}
+
+// CloseIdle closes connections that have been idle for too long and those that
+// their target has closed.
+func (c *Client) CloseIdle() {
+	now := c.now()
+	var old []*conn
+	c.pools.mu.Lock()
+	for key, list := range c.pools.idle {
+		kept := list[:0]
+		for _, cn := range list {
+			if now.Sub(cn.idleSince) > cn.idleFor || !isQuiet(cn.Conn) {
+				old = append(old, cn)
+				continue
+			}
+			kept = append(kept, cn)
+		}
+		if c.pools.idle[key] = kept; len(kept) == 0 {
+			delete(c.pools.idle, key)
+		}
+	}
+	c.pools.mu.Unlock()
+	for _, cn := range old {
+		c.pools.drop(cn)
+	}
+}
+
+// isQuiet reports whether an idle connection is open and holds no bytes: bytes
+// that no call waits for belong to none.
+func isQuiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN || err == unix.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
+
+// SetUnackedTimeout returns a dialer's control function that ends connections
+// whose sent bytes are not confirmed in time.
+func SetUnackedTimeout(timeout time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}
+}
+
+type metrics struct{ dialed, dialFailed, reused prometheus.Counter }
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		dialed:     prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_upstream_connections_opened_total", Help: "Connections opened to targets."}),
+		dialFailed: prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_upstream_dials_failed_total", Help: "Connections to targets that could not be opened."}),
+		reused:     prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_upstream_connections_reused_total", Help: "Calls sent on an idle connection."}),
+	}
+	registerer.MustRegister(m.dialed, m.dialFailed, m.reused)
+	return m
+}
