--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -15,6 +15,29 @@
 	Burst float64
 }
 
+// QuotaBounds widens the limits of accounts: in any window, an account may use
+// (Rate x Window + Burst) x (1 + Overshoot) + Slack units.
+type QuotaBounds struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64
+}
+
+// slackUsed is the part of the slack that is given to accounts. The rest covers
+// what peers spend before their word arrives.
+const slackUsed = 0.7
+
+// widen returns the limit that keeps within the bounds.
+func (b QuotaBounds) widen(l AccountLimit) AccountLimit {
+	if b.Window <= 0 {
+		return l
+	}
+	return AccountLimit{
+		Rate:  l.Rate*(1+b.Overshoot) + slackUsed*b.Slack/b.Window.Seconds(),
+		Burst: l.Burst * (1 + b.Overshoot),
+	}
+}
+
 // bucket is a token bucket that all instances share: spending of peers is
 // deducted when it becomes known, so the level may be negative.
 type bucket struct {
@@ -30,6 +53,8 @@
 // Quota bounds what client accounts use over all instances. It is safe for
 // concurrent use.
 type Quota struct {
+	bounds QuotaBounds
+
 	mu       sync.Mutex
 	accounts map[string]*bucket
 	// share is the part of each rate that this instance counts on: 1 while all
@@ -38,7 +63,9 @@
 }
 
 // NewQuota returns a quota that nothing was spent of.
-func NewQuota() *Quota { return &Quota{accounts: make(map[string]*bucket), share: 1} }
+func NewQuota(b QuotaBounds) *Quota {
+	return &Quota{bounds: b, accounts: make(map[string]*bucket), share: 1}
+}
 
 // SetShare sets the part of each rate that may be spent by this instance and the
 // peers that it hears, 0 to 1. The others are taken to spend the rest.
@@ -65,7 +92,8 @@
 func (q *Quota) bucket(account string, limit AccountLimit, now time.Time) *bucket {
 	b := q.accounts[account]
 	if b == nil {
-		b = &bucket{limit: limit, level: limit.Burst, at: now, peers: make(map[string]float64)}
+		// Others may have spent the burst before this instance heard of it.
+		b = &bucket{limit: limit, level: limit.Burst * q.share * startShare, at: now, peers: make(map[string]float64)}
 		q.accounts[account] = b
 	}
 	if b.limit != limit {
@@ -76,6 +104,9 @@
 	return b
 }
 
+// startShare is the part of a burst that an instance counts on at its start.
+const startShare = 0.5
+
 func (b *bucket) refill(now time.Time, share float64) {
 	if passed := now.Sub(b.at).Seconds(); passed > 0 {
 		b.level = min(b.level+passed*b.limit.Rate*share, b.limit.Burst)
@@ -89,6 +120,7 @@
 	if limit.Rate <= 0 {
 		return 0, true
 	}
+	limit = q.bounds.widen(limit)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	b := q.bucket(account, limit, now)
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,291 @@
+// Package follow keeps the objects under one prefix of the store up to date at
+// all instances of an availability zone, while only one of them watches the
+// store: it relays what it learns to the others, and they look themselves once
+// its word is overdue.
+package follow
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/dotterellink/dotterellink/internal/platform"
+)
+
+const (
+	// overdueAfter is the time without word after which an instance looks itself,
+	// beyond the wait of the watching one.
+	overdueAfter = 400 * time.Millisecond
+	// checkEvery is the time between looks at whether word is overdue.
+	checkEvery = 100 * time.Millisecond
+	// firstRetry and maxRetry bound the time between calls to a store that fails.
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = 800 * time.Millisecond
+)
+
+// Word is what the watching instance relays: the changes between two versions of
+// the store, or all objects.
+type Word struct {
+	Prefix  string   `msgpack:"p"`
+	From    uint64   `msgpack:"f"`
+	To      uint64   `msgpack:"t"`
+	Full    bool     `msgpack:"a,omitempty"`
+	Objects []Object `msgpack:"o,omitempty"`
+}
+
+// Object is one object of a word.
+type Object struct {
+	Key     string `msgpack:"k"`
+	Value   []byte `msgpack:"v,omitempty"`
+	Version uint64 `msgpack:"r"`
+	Deleted bool   `msgpack:"d,omitempty"`
+}
+
+// Sink takes what a follower learns. Its methods are never called side by side.
+type Sink interface {
+	// Replace takes all objects.
+	Replace(list []platform.Object, now time.Time)
+	// Change takes one object, which may be deleted.
+	Change(o platform.Object, now time.Time)
+}
+
+// Config holds what a follower is made of.
+type Config struct {
+	Objects platform.Objects
+	Prefix  string
+	// Wait is how long a watch waits for a change. A store that has stopped
+	// telling changes is noticed after it.
+	Wait time.Duration
+	Sink Sink
+	// Watching reports whether this instance is the one that watches.
+	Watching func() bool
+	// Relay sends a word to the other instances of the zone.
+	Relay func(w Word)
+	// Lost and Back learn whether the store answers.
+	Lost func(err error)
+	Back func(now time.Time)
+	Log  log.Interface
+}
+
+// Follower follows the objects under one prefix. It is safe for concurrent use.
+//
+// Invariant: the sink has seen all changes up to version, and never an object
+// older than one it has seen.
+type Follower struct {
+	Config
+	now  func() time.Time
+	poke chan struct{}
+
+	// apply serialises calls of the sink. Lock order: apply before mu.
+	apply sync.Mutex
+
+	mu      sync.Mutex
+	version uint64
+	seen    map[string]uint64
+	// confirmedAt is when the objects were last known to be complete.
+	confirmedAt time.Time
+	// behind is set if a word was missed.
+	behind bool
+}
+
+// New returns a follower that knows nothing.
+func New(c Config) *Follower {
+	return &Follower{Config: c, now: time.Now, poke: make(chan struct{}, 1), seen: make(map[string]uint64)}
+}
+
+// Version returns the version of the store up to which all changes are known.
+func (f *Follower) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// Hurry has the store looked up at once: a peer has heard of something newer.
+func (f *Follower) Hurry() {
+	select {
+	case f.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Heard takes a word of the instance that watches.
+func (f *Follower) Heard(w Word) {
+	f.apply.Lock()
+	defer f.apply.Unlock()
+	f.mu.Lock()
+	switch {
+	case w.Full && w.To < f.version:
+		f.mu.Unlock()
+		return
+	case !w.Full && w.From > f.version:
+		f.behind = true
+		f.mu.Unlock()
+		f.Hurry()
+		return
+	}
+	f.mu.Unlock()
+	list := make([]platform.Object, 0, len(w.Objects))
+	for _, o := range w.Objects {
+		list = append(list, platform.Object{Key: o.Key, Value: o.Value, Version: platform.Version(o.Version), Deleted: o.Deleted})
+	}
+	f.take(list, w.Full, w.To)
+}
+
+// take requires f.apply. It hands objects to the sink.
+func (f *Follower) take(list []platform.Object, full bool, to uint64) {
+	now := f.now()
+	if full {
+		f.Sink.Replace(list, now)
+	}
+	f.mu.Lock()
+	if full {
+		f.seen = make(map[string]uint64, len(list))
+	}
+	var changed []platform.Object
+	for _, o := range list {
+		if !full && uint64(o.Version) < f.seen[o.Key] {
+			continue
+		}
+		f.seen[o.Key] = uint64(o.Version)
+		changed = append(changed, o)
+	}
+	f.version = max(f.version, to)
+	f.confirmedAt, f.behind = now, false
+	f.mu.Unlock()
+	if full {
+		return
+	}
+	for _, o := range changed {
+		f.Sink.Change(o, now)
+	}
+}
+
+// Run follows the objects until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = firstRetry, maxRetry
+	for ctx.Err() == nil {
+		watching := f.Watching()
+		if !watching && !f.overdue() {
+			f.rest(ctx)
+			continue
+		}
+		err := f.look(ctx, watching)
+		switch {
+		case err == nil:
+			retry.Reset()
+			f.Back(f.now())
+		case ctx.Err() == nil:
+			f.Lost(err)
+			pause(ctx, retry.NextBackOff())
+		}
+	}
+	return ctx.Err()
+}
+
+// rest waits for the next check.
+func (f *Follower) rest(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.poke:
+		f.mu.Lock()
+		f.behind = true
+		f.mu.Unlock()
+	case <-time.After(checkEvery):
+	}
+}
+
+// overdue reports whether the instance has to look itself.
+func (f *Follower) overdue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.behind || f.confirmedAt.IsZero() || f.now().Sub(f.confirmedAt) > f.Wait+overdueAfter
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// look asks the store once: for all objects, or, if this instance watches and
+// knows them, for changes.
+func (f *Follower) look(ctx context.Context, watching bool) error {
+	f.mu.Lock()
+	known := f.version > 0 && !f.behind
+	f.mu.Unlock()
+	if !known || !watching {
+		return f.list(ctx)
+	}
+	err := f.watch(ctx)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		f.Log.WithField("prefix", f.Prefix).Info("follow: History gone, listing anew.")
+		return f.list(ctx)
+	}
+	return err
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	list, version, err := f.Objects.List(ctx, f.Prefix)
+	if err != nil {
+		return err
+	}
+	f.apply.Lock()
+	defer f.apply.Unlock()
+	if uint64(version) < f.Version() {
+		// A word that is newer than this list arrived meanwhile.
+		return nil
+	}
+	f.take(list, true, uint64(version))
+	f.relay(list, true, 0, uint64(version))
+	return nil
+}
+
+// watch waits for changes once, or until it is told to hurry.
+func (f *Follower) watch(ctx context.Context) error {
+	from := f.Version()
+	waitCtx, cancel := context.WithCancel(ctx)
+	hurried := make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.poke:
+			cancel()
+			hurried <- true
+		case <-waitCtx.Done():
+			hurried <- false
+		}
+	}()
+	changes, version, err := f.Objects.Changes(waitCtx, f.Prefix, platform.Version(from), f.Wait)
+	cancel()
+	if <-hurried && err != nil && ctx.Err() == nil {
+		return f.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.apply.Lock()
+	defer f.apply.Unlock()
+	f.take(changes, false, uint64(version))
+	f.relay(changes, false, from, uint64(version))
+	return nil
+}
+
+func (f *Follower) relay(list []platform.Object, full bool, from, to uint64) {
+	w := Word{Prefix: f.Prefix, Full: full, From: from, To: to}
+	for _, o := range list {
+		w.Objects = append(w.Objects, Object{Key: o.Key, Value: o.Value, Version: uint64(o.Version), Deleted: o.Deleted})
+	}
+	f.Relay(w)
+}
+
+// NameOf returns the last part of a key.
+func NameOf(key string) string {
+	_, name, _ := strings.Cut(key, "/")
+	return name
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -23,6 +24,7 @@
 	"github.com/dotterellink/dotterellink/internal/catalog"
 	"github.com/dotterellink/dotterellink/internal/dispatch"
 	"github.com/dotterellink/dotterellink/internal/fleet"
+	"github.com/dotterellink/dotterellink/internal/follow"
 	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/passthrough"
 	"github.com/dotterellink/dotterellink/internal/peers"
@@ -91,6 +93,8 @@
 	demand   *residency.Demand
 	server   *passthrough.Server
 	ready    readiness
+	// asking is set while a peer is asked for its state.
+	asking atomic.Bool
 
 	callers, readies, meshing, metrics net.Listener
 }
@@ -100,12 +104,16 @@
 	g := &Gateway{
 		settings: s, deps: d, log: logger, registry: registry,
 		catalog: catalog.NewHolder(), fleet: fleet.NewTable(), board: dispatch.NewBoard(),
-		quota: allowance.NewQuota(), view: residency.NewView(), demand: residency.NewDemand(),
+		quota: allowance.NewQuota(allowance.QuotaBounds{
+			Window: seconds(s.Bounds.QuotaWindowSeconds), Overshoot: s.Bounds.QuotaOvershoot, Slack: s.Bounds.QuotaSlack,
+		}),
+		view: residency.NewView(), demand: residency.NewDemand(),
 	}
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.client = upstream.NewClient(registry)
-	g.followed = newFollowed(d.Source, d.Objects, g.catalog, g.fleet, g.board, logger)
+	g.followed = newFollowed(d.Source, g.catalog, g.fleet, g.board, logger)
 	g.wireMesh()
+	g.followed.wire(followWiring{objects: d.Objects, watching: g.watching, relay: g.relay})
 	g.wireResidency()
 	g.wireServer()
 	return g, g.listen()
@@ -120,6 +128,7 @@
 	g.exchange.Fill, g.exchange.Take, g.exchange.Gone = g.fill, g.take, g.gone
 	g.exchange.Changed = func() bool { return g.board.Pending() || g.keeper.Pending() }
 	mesh.Handle(g.node, methodSnapshot, g.followed.snapshotAsked)
+	g.node.Handle(methodWord, g.wordHeard)
 }
 
 func (g *Gateway) wireResidency() {
@@ -182,7 +191,7 @@
 	}
 	for _, loop := range []func(context.Context) error{
 		func(ctx context.Context) error { return g.node.Run(ctx, g.meshing) },
-		g.followed.config.run, g.followed.targets.run, g.followed.evacuations.run,
+		g.followed.config.Run, g.followed.targets.Run, g.followed.evacuations.Run,
 		g.exchange.Run, g.holding.Run, g.keeper.Run, g.introduce, g.housekeep,
 	} {
 		group.Go(func() error { return loop(groupCtx) })
@@ -222,6 +231,9 @@
 	g.ready.leave()
 	g.server.Leave()
 	g.exchange.Leave()
+	// Ends idle connections and makes each answer the last of its connection:
+	// what callers keep open would bring calls until the end.
+	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
 	g.holding.Release(ctx)
@@ -308,10 +320,10 @@
 	for _, o := range list {
 		var m member
 		if err := json.Unmarshal(o.Value, &m); err != nil {
-			g.log.WithField("member", nameOf(o.Key)).WithError(err).Warn("gateway: Instance unreadable.")
+			g.log.WithField("member", follow.NameOf(o.Key)).WithError(err).Warn("gateway: Instance unreadable.")
 			continue
 		}
-		found = append(found, mesh.PeerAddress{Peer: mesh.Peer{Name: nameOf(o.Key), Zone: m.Zone}, Address: m.Address})
+		found = append(found, mesh.PeerAddress{Peer: mesh.Peer{Name: follow.NameOf(o.Key), Zone: m.Zone}, Address: m.Address})
 	}
 	g.exchange.Add(found)
 	return nil
@@ -325,13 +337,27 @@
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-		s, err := mesh.Call[snapshotRequest, snapshot](callCtx, g.node, p.Name, methodSnapshot, &snapshotRequest{})
+		g.takeSnapshot(callCtx, p.Name)
 		cancel()
-		if err != nil {
-			g.log.WithField("peer", p.Name).WithError(err).Info("gateway: No state from peer.")
-			continue
-		}
-		g.followed.take(s, time.Now())
+	}
+}
+
+// takeSnapshot takes from a peer what the store does not tell.
+func (g *Gateway) takeSnapshot(ctx context.Context, peer string) {
+	s, err := mesh.Call[snapshotRequest, snapshot](ctx, g.node, peer, methodSnapshot, &snapshotRequest{})
+	if err != nil {
+		g.log.WithField("peer", peer).WithError(err).Info("gateway: No state from peer.")
+		return
+	}
+	g.followed.takeSnapshot(s, time.Now())
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -342,6 +368,7 @@
 		g.client.CloseIdle()
 		g.fleet.Expire(now)
 		view := g.fleet.View()
+		g.demand.Fold(now)
 		listed := func(id string) bool { return view.Targets[id] != nil }
 		g.board.Forget(listed, now)
 		g.view.Forget(listed)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -60,6 +60,11 @@
 	// ColdOvershoot and ColdSlack widen the rate that a cold target bears.
 	ColdOvershoot float64 `json:"cold_overshoot"`
 	ColdSlack     float64 `json:"cold_slack"`
+	// QuotaOvershoot and QuotaSlack widen what an account may use in a window of
+	// QuotaWindowSeconds; the slack is in its units.
+	QuotaWindowSeconds float64 `json:"quota_window_seconds"`
+	QuotaOvershoot     float64 `json:"quota_overshoot"`
+	QuotaSlack         float64 `json:"quota_slack"`
 	// OrderGapMS is the time that orders of two instances to one target have to
 	// lie apart, in milliseconds.
 	OrderGapMS float64 `json:"order_gap_ms"`
@@ -119,6 +124,9 @@
 	check(s.Bounds.RetrySlack >= 0, "bounds.retry_slack: must not be negative")
 	check(s.Bounds.ColdOvershoot >= 0, "bounds.cold_overshoot: must not be negative")
 	check(s.Bounds.ColdSlack >= 0, "bounds.cold_slack: must not be negative")
+	check(s.Bounds.QuotaWindowSeconds >= 0, "bounds.quota_window_seconds: must not be negative")
+	check(s.Bounds.QuotaOvershoot >= 0, "bounds.quota_overshoot: must not be negative")
+	check(s.Bounds.QuotaSlack >= 0, "bounds.quota_slack: must not be negative")
 	check(s.Bounds.OrderGapMS >= 0, "bounds.order_gap_ms: must not be negative")
 	return out
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -10,10 +10,21 @@
 	"github.com/dotterellink/dotterellink/internal/catalog"
 	"github.com/dotterellink/dotterellink/internal/dispatch"
 	"github.com/dotterellink/dotterellink/internal/fleet"
+	"github.com/dotterellink/dotterellink/internal/follow"
 	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/platform"
 )
 
+// Source names what operators and targets write to the store, and reads it.
+type Source struct {
+	ConfigPrefix     string
+	ConfigKey        string
+	TargetPrefix     string
+	EvacuationPrefix string
+	DecodeConfig     func(value []byte) (*catalog.State, error)
+	DecodeTarget     func(id string, value []byte) (fleet.Announcement, error)
+}
+
 // followed is what an instance follows in the store: the state in force, the
 // targets and the evacuated zones. It keeps the newest readable value of each
 // object, so that an instance that starts while the store is away can take them
@@ -25,34 +36,79 @@
 	board   *dispatch.Board
 	log     log.Interface
 
-	config, targets, evacuations *watcher
+	config, targets, evacuations *follow.Follower
 
 	mu        sync.Mutex
 	rawConfig platform.Object
 	rawTarget map[string]platform.Object
 	// lost is set while the store does not answer.
 	lost bool
-	// coldZones gives the time until which targets of a zone that was taken back
-	// may be cold without having told so.
-	coldZones map[string]time.Time
 }
 
-func newFollowed(source Source, objects platform.Objects, c *catalog.Holder, f *fleet.Table, b *dispatch.Board, logger log.Interface) *followed {
-	s := &followed{
-		source: source, catalog: c, fleet: f, board: b, log: logger,
-		rawTarget: make(map[string]platform.Object), coldZones: make(map[string]time.Time),
+const (
+	// watchWait is how long a watch of the configuration and of the targets waits:
+	// a change has to act within two seconds, and the store may stop telling
+	// changes for a while without a word.
+	watchWait = time.Second
+	// evacuationWait is the same for evacuated zones, for which there is more
+	// time.
+	evacuationWait = 2 * time.Second
+)
+
+// followWiring is what followers need of the instance.
+type followWiring struct {
+	objects  platform.Objects
+	watching func() bool
+	relay    func(w follow.Word)
+}
+
+func newFollowed(source Source, c *catalog.Holder, f *fleet.Table, b *dispatch.Board, logger log.Interface) *followed {
+	return &followed{source: source, catalog: c, fleet: f, board: b, log: logger, rawTarget: make(map[string]platform.Object)}
+}
+
+// wire makes the followers.
+func (s *followed) wire(w followWiring) {
+	make := func(prefix string, wait time.Duration, sink follow.Sink) *follow.Follower {
+		return follow.New(follow.Config{
+			Objects: w.objects, Prefix: prefix, Wait: wait, Sink: sink, Watching: w.watching, Relay: w.relay,
+			Lost: s.storeLost, Back: s.storeBack, Log: s.log,
+		})
 	}
-	s.config = newWatcher(objects, source.ConfigPrefix, logger)
-	s.config.replace, s.config.change = s.configListed, s.configChanged
-	s.targets = newWatcher(objects, source.TargetPrefix, logger)
-	s.targets.replace, s.targets.change = s.targetsListed, s.targetChanged
-	s.evacuations = newWatcher(objects, source.EvacuationPrefix, logger)
-	s.evacuations.replace, s.evacuations.change = s.evacuationsListed, s.evacuationChanged
-	for _, w := range []*watcher{s.config, s.targets, s.evacuations} {
-		w.lost, w.back = s.storeLost, s.storeBack
+	s.config = make(s.source.ConfigPrefix, watchWait, configSink{s})
+	s.targets = make(s.source.TargetPrefix, watchWait, targetSink{s})
+	s.evacuations = make(s.source.EvacuationPrefix, evacuationWait, evacuationSink{s})
+}
+
+// all lists the followers.
+func (s *followed) all() []*follow.Follower {
+	return []*follow.Follower{s.config, s.targets, s.evacuations}
+}
+
+// heard takes a word of the instance of the zone that watches.
+func (s *followed) heard(w follow.Word) {
+	for _, f := range s.all() {
+		if f.Prefix == w.Prefix {
+			f.Heard(w)
+		}
 	}
-	return s
+	s.catalog.Confirm(time.Now())
+}
+
+// Sinks of the three followers.
+type (
+	configSink     struct{ *followed }
+	targetSink     struct{ *followed }
+	evacuationSink struct{ *followed }
+)
+
+func (s configSink) Replace(list []platform.Object, now time.Time) { s.configListed(list, now) }
+func (s configSink) Change(o platform.Object, now time.Time)       { s.configChanged(o, now) }
+func (s targetSink) Replace(list []platform.Object, now time.Time) { s.targetsListed(list, now) }
+func (s targetSink) Change(o platform.Object, now time.Time)       { s.targetChanged(o, now) }
+func (s evacuationSink) Replace(list []platform.Object, now time.Time) {
+	s.evacuationsListed(list, now)
 }
+func (s evacuationSink) Change(o platform.Object, now time.Time) { s.evacuationChanged(o, now) }
 
 func (s *followed) storeLost(err error) {
 	s.fleet.StoreLost()
@@ -114,20 +170,20 @@
 	s.mu.Unlock()
 	s.noteRestarts(all, now)
 	s.fleet.Replace(all, now)
-	s.log.WithField("targets", len(all)).Info("gateway: Targets listed.")
+	s.log.WithField("targets", len(all)).Debug("gateway: Targets listed.")
 }
 
 func (s *followed) readTarget(o platform.Object) (fleet.Announcement, bool) {
-	a, err := s.source.DecodeTarget(nameOf(o.Key), o.Value)
+	a, err := s.source.DecodeTarget(follow.NameOf(o.Key), o.Value)
 	if err != nil {
-		s.log.WithField("target", nameOf(o.Key)).WithError(err).Warn("gateway: Announcement unreadable, not used.")
+		s.log.WithField("target", follow.NameOf(o.Key)).WithError(err).Warn("gateway: Announcement unreadable, not used.")
 		return a, false
 	}
 	return a, true
 }
 
 func (s *followed) targetChanged(o platform.Object, now time.Time) {
-	id := nameOf(o.Key)
+	id := follow.NameOf(o.Key)
 	if o.Deleted {
 		s.mu.Lock()
 		delete(s.rawTarget, o.Key)
@@ -165,7 +221,7 @@
 	before := s.fleet.View().Evacuated
 	var zones []string
 	for _, o := range list {
-		zones = append(zones, nameOf(o.Key))
+		zones = append(zones, follow.NameOf(o.Key))
 	}
 	s.fleet.Evacuate(zones)
 	after := s.fleet.View().Evacuated
@@ -177,7 +233,7 @@
 }
 
 func (s *followed) evacuationChanged(o platform.Object, now time.Time) {
-	zone := nameOf(o.Key)
+	zone := follow.NameOf(o.Key)
 	s.fleet.EvacuateZone(zone, !o.Deleted)
 	if o.Deleted {
 		s.takenBack(zone, now)
@@ -221,17 +277,26 @@
 	return out, nil
 }
 
-// take uses the snapshot of a peer for what the store has not told yet.
-func (s *followed) take(p *snapshot, now time.Time) {
-	if s.config.at() == 0 && len(p.Config) > 0 {
+// takeSnapshot uses the snapshot of a peer for what the store has not told yet,
+// or does not tell now.
+func (s *followed) takeSnapshot(p *snapshot, now time.Time) {
+	if len(p.Config) > 0 {
 		s.configChanged(platform.Object{Key: s.source.ConfigKey, Value: p.Config}, now)
 	}
-	if s.targets.at() == 0 {
-		for key, value := range p.Targets {
-			s.targetChanged(platform.Object{Key: key, Value: value}, now)
-		}
+	if s.targets.Version() > 0 && !s.storeIsLost() {
+		return
+	}
+	for key, value := range p.Targets {
+		s.targetChanged(platform.Object{Key: key, Value: value}, now)
 	}
-	if s.evacuations.at() == 0 {
-		s.fleet.Evacuate(p.Zones)
+	for _, zone := range p.Zones {
+		s.fleet.EvacuateZone(zone, true)
 	}
 }
+
+// storeIsLost reports whether the store does not answer this instance.
+func (s *followed) storeIsLost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -7,8 +7,11 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/dotterellink/dotterellink/internal/fleet"
+	"github.com/dotterellink/dotterellink/internal/follow"
+	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/peers"
 )
 
@@ -17,10 +20,11 @@
 	if state := g.catalog.Current(); state != nil {
 		s.StateVersion = state.Version
 	}
-	s.TargetsVersion = uint64(g.followed.targets.at())
+	s.StoreLost = g.followed.storeIsLost()
 	s.Loads, s.Read = g.board.Drain(full, time.Now())
 	s.Spent = g.quota.Spent()
 	s.Demand = g.demand.Told()
+	s.Ended = g.holding.Ended()
 	if s.Held = g.holding.Told(); s.Held != nil {
 		s.Placed = g.keeper.Told(full)
 	}
@@ -37,6 +41,9 @@
 			g.keeper.AdapterUsed(r.TargetID, r.Adapter)
 		}
 	}
+	if s.Ended != nil {
+		g.holding.HeardEnded(s.Ended)
+	}
 	if s.Held != nil {
 		g.holding.Heard(*s.Held)
 		for _, p := range s.Placed {
@@ -44,18 +51,75 @@
 		}
 	}
 	if state := g.catalog.Current(); state != nil && s.StateVersion > state.Version {
-		g.followed.config.hurry()
+		g.behind(from.Name)
 	}
 	if newRun {
 		g.log.WithFields(log.Fields{"peer": from.Name, "zone": from.Zone, "run": s.Run}).Info("gateway: Peer heard.")
 	}
 }
 
+// methodWord carries what the instance of a zone that watches the store learns.
+const methodWord = "gateway.word"
+
+// watching reports whether this instance is the one of its zone that watches the
+// store: the first by name among those that are heard and stay.
+func (g *Gateway) watching() bool {
+	if g.ready.isLeaving() {
+		return false
+	}
+	for _, p := range g.exchange.Heard() {
+		if p.Zone == g.settings.Zone && !p.Leaving && !p.StoreLost && p.Name < g.settings.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// relay sends a word to the other instances of the zone.
+func (g *Gateway) relay(w follow.Word) {
+	body, err := msgpack.Marshal(&w)
+	if err != nil {
+		g.log.WithError(err).Error("gateway: Word not encoded.")
+		return
+	}
+	g.exchange.SendZone(methodWord, body)
+}
+
+func (g *Gateway) wordHeard(_ context.Context, _ mesh.Peer, body []byte) ([]byte, error) {
+	var w follow.Word
+	if err := msgpack.Unmarshal(body, &w); err != nil {
+		return nil, err
+	}
+	g.followed.heard(w)
+	return nil, nil
+}
+
+// behind has the state looked up, as a peer knows a newer version: in the store,
+// or at the peer while the store does not answer.
+func (g *Gateway) behind(peer string) {
+	if !g.followed.storeIsLost() {
+		g.followed.config.Hurry()
+		return
+	}
+	if !g.asking.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer g.asking.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), snapshotTimeout)
+		defer cancel()
+		g.takeSnapshot(ctx, peer)
+	}()
+}
+
 // gone forgets a run of a peer that has ended.
 func (g *Gateway) gone(p peers.Peer) {
 	g.board.PeerGone(p.Name)
 	g.quota.PeerGone(p.Run)
 	g.demand.Gone(p.Run)
+	if p.Ended {
+		g.holding.PeerEnded(p.Name)
+	}
 }
 
 // placement joins what the view and the keeper know for callers.
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -158,13 +158,13 @@
 
 // serve answers the calls of one peer.
 func (n *Node) serve(ctx context.Context, raw net.Conn) {
+	defer raw.Close()
 	conn, peer, err := n.accept(ctx, n.metrics.count(raw))
-	defer conn.Close()
 	if err != nil {
 		n.log.Debugf("Connection from %s refused: %v.", raw.RemoteAddr(), err)
 		return
 	}
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
 	s := &session{node: n, peer: peer, out: newLink(peer, conn), slots: make(chan struct{}, maxCallsAtOnce)}
 	reader := bufio.NewReader(conn)
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/apex/log"
 
 	"github.com/dotterellink/dotterellink/internal/call"
@@ -168,6 +169,9 @@
 	fields := log.Fields{"call": f.call.ID, "result": result, "send": f.sends}
 	if err != nil {
 		fields["error"] = err.Error()
+		if cause := merry.Cause(err); cause != nil {
+			fields["cause"] = cause.Error()
+		}
 	}
 	f.Log.WithFields(fields).Info("passthrough: Attempt ended without an answer.")
 }
@@ -180,6 +184,7 @@
 	}
 	now := f.Now()
 	ticket.FirstAnswer(now)
+	f.firstAt = now
 	f.metrics.first.Observe(now.Sub(f.call.Arrived).Seconds())
 	a := &answer{status: response.Status, header: response.Header, body: body}
 	if len(body) == maxBufferedAnswer {
@@ -307,6 +312,7 @@
 
 func (f *flight) firstEvent(ticket *dispatch.Ticket, response *upstream.Response) {
 	now := f.Now()
+	f.firstAt = now
 	f.metrics.first.Observe(now.Sub(f.call.Arrived).Seconds())
 	f.copyHead(response.Status, response.Header)
 }
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -39,9 +39,9 @@
 		f.giveUp("no_target_free", max(wait, noTargetRetry))
 		return dispatch.Pick{}, false
 	}
-	if pick.Expected > f.ends.Sub(now) {
+	if left := f.patience(now); pick.Expected > left {
 		f.logHopeless(pick, now)
-		f.giveUp("too_late", pick.Expected-f.ends.Sub(now)+noTargetRetry/2)
+		f.giveUp("too_late", pick.Expected-left+noTargetRetry/2)
 		return dispatch.Pick{}, false
 	}
 	if f.call.Model != "" {
@@ -53,6 +53,25 @@
 	return pick, true
 }
 
+const (
+	// callersStay, and the multiples of a route's aims, are how long callers wait
+	// for the first event of a stream, whichever is longest. Source: the
+	// platform's page on streams.
+	callersStay        = 2 * time.Second
+	callersStayLatency = 4
+	callersStayGap     = 8
+)
+
+// patience returns how long the caller waits for the first answer.
+func (f *flight) patience(now time.Time) time.Duration {
+	left := f.ends.Sub(now)
+	if f.route.Kind != catalog.Stream {
+		return left
+	}
+	stay := max(callersStay, callersStayLatency*f.route.TargetLatency, callersStayGap*f.route.EventGap)
+	return min(left, stay-now.Sub(f.call.Arrived))
+}
+
 func (f *flight) query(service *catalog.Service, now time.Time) dispatch.Query {
 	q := dispatch.Query{Work: f.work, Zone: f.Zone, Excluded: f.excluded, Now: now}
 	if service.Engine != nil {
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -60,6 +60,8 @@
 	// head of the answer was relayed.
 	lastEvent string
 	started   bool
+	// firstAt is when the first event or answer came.
+	firstAt time.Time
 	// kept is an error answer of a target, delivered if no attempt does better.
 	kept *answer
 }
@@ -252,6 +254,9 @@
 		"call": f.call.ID, "outcome": outcome, "sends": f.sends, "runs": f.runs,
 		"after_ms": now.Sub(f.call.Arrived).Milliseconds(),
 	}
+	if !f.firstAt.IsZero() {
+		fields["first_ms"] = f.firstAt.Sub(f.call.Arrived).Milliseconds()
+	}
 	if f.route != nil {
 		fields["route"] = f.route.Name
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -51,16 +51,17 @@
 	Zone    string `msgpack:"z"`
 	Address string `msgpack:"a"`
 	Leaving bool   `msgpack:"l,omitempty"`
-	// StateVersion is the version of the state in force; TargetsVersion the
-	// store's at which the list of targets is complete.
-	StateVersion   int64  `msgpack:"v"`
-	TargetsVersion uint64 `msgpack:"tv"`
+	// StateVersion is the version of the state in force.
+	StateVersion int64 `msgpack:"v"`
+	// StoreLost is set while the store does not answer the instance.
+	StoreLost bool `msgpack:"sl,omitempty"`
 
 	Loads  []dispatch.TargetLoad `msgpack:"ld,omitempty"`
 	Read   []dispatch.PartsRead  `msgpack:"rd,omitempty"`
 	Spent  []allowance.Spending  `msgpack:"sp,omitempty"`
 	Demand []ModelDemand         `msgpack:"dm,omitempty"`
 	Held   *HeldLease            `msgpack:"hl,omitempty"`
+	Ended  *EndedLease           `msgpack:"el,omitempty"`
 	Placed []Placed              `msgpack:"pl,omitempty"`
 }
 
@@ -74,6 +75,14 @@
 	Unserved uint64  `msgpack:"u,omitempty"`
 }
 
+// EndedLease is what a holder tells once it has lost the placement lease.
+type EndedLease struct {
+	Token uint64 `msgpack:"k"`
+	// OrderedAgoMS is the age of the last order to each target, in milliseconds.
+	// Targets that are not named got none lately.
+	OrderedAgoMS map[string]int64 `msgpack:"o"`
+}
+
 // HeldLease is the placement lease as its holder last wrote it.
 type HeldLease struct {
 	Record  lease.Record `msgpack:"r"`
@@ -101,8 +110,10 @@
 	Address string
 	Run     string
 	Leaving bool
-	HeardAt time.Time
-	KnownAt time.Time
+	// StoreLost is set while the store does not answer the peer.
+	StoreLost bool
+	HeardAt   time.Time
+	KnownAt   time.Time
 	// Ended is set once its address refused a connection.
 	Ended bool
 	// seq is the number of the newest status of the run.
@@ -133,7 +144,9 @@
 	known map[string]*Peer
 	names atomic.Pointer[[]string]
 	// sending holds the newest statuses that wait for a slow peer.
-	sending map[string]chan []byte
+	sending map[string]chan message
+	// ended closes when the exchange stops.
+	ended chan struct{}
 }
 
 // pendingStatuses is the number of statuses kept for a peer that reads slowly;
@@ -144,7 +157,7 @@
 func NewExchange(node *mesh.Node, address, run string, logger log.Interface) *Exchange {
 	e := &Exchange{
 		node: node, address: address, run: run, log: logger, now: time.Now,
-		poke: make(chan struct{}, 1), known: make(map[string]*Peer), sending: make(map[string]chan []byte),
+		poke: make(chan struct{}, 1), known: make(map[string]*Peer), sending: make(map[string]chan message), ended: make(chan struct{}),
 	}
 	e.publishNames()
 	node.OnDialFailed(e.dialFailed)
@@ -308,7 +321,7 @@
 	}
 	before := *p
 	p.seq = s.Seq
-	p.Run, p.HeardAt, p.Leaving, p.Zone = s.Run, now, s.Leaving, s.Zone
+	p.Run, p.HeardAt, p.Leaving, p.Zone, p.StoreLost = s.Run, now, s.Leaving, s.Zone, s.StoreLost
 	if p.Ended || fresh {
 		p.Ended = false
 		e.publishNames()
@@ -346,6 +359,7 @@
 	var sentAt, fullAt time.Time
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	defer close(e.ended)
 	for {
 		select {
 		case <-ctx.Done():
@@ -365,7 +379,7 @@
 				fullAt = now
 				e.forget(now)
 			}
-			e.send(ctx, full)
+			e.send(full)
 			sentAt = now
 		}
 		timer.Reset(keepAlive)
@@ -373,7 +387,7 @@
 }
 
 // send sends one status to all connected peers.
-func (e *Exchange) send(ctx context.Context, full bool) {
+func (e *Exchange) send(full bool) {
 	e.seq++
 	s := &Status{Run: e.run, Seq: e.seq, Zone: e.node.Self().Zone, Address: e.address, Leaving: e.leaving.Load()}
 	e.Fill(s, full)
@@ -383,26 +397,48 @@
 		return
 	}
 	for _, p := range e.node.Peers() {
-		queue := e.sending[p.Name]
-		if queue == nil {
-			queue = make(chan []byte, pendingStatuses)
-			e.sending[p.Name] = queue
-			go e.sendTo(ctx, p.Name, queue)
-		}
-		select {
-		case queue <- body:
-		default:
+		e.enqueue(p.Name, message{methodStatus, body})
+	}
+}
+
+// message is what waits for a peer.
+type message struct {
+	method string
+	body   []byte
+}
+
+// SendZone sends a message to all peers of the own zone. It may be lost.
+func (e *Exchange) SendZone(method string, body []byte) {
+	for _, p := range e.node.Peers() {
+		if p.Zone == e.node.Self().Zone {
+			e.enqueue(p.Name, message{method, body})
 		}
 	}
 }
 
-func (e *Exchange) sendTo(ctx context.Context, name string, queue chan []byte) {
+// enqueue never blocks; a message for a peer that reads slowly is dropped.
+func (e *Exchange) enqueue(name string, m message) {
+	e.mu.Lock()
+	queue := e.sending[name]
+	if queue == nil {
+		queue = make(chan message, pendingStatuses)
+		e.sending[name] = queue
+		go e.sendTo(name, queue)
+	}
+	e.mu.Unlock()
+	select {
+	case queue <- m:
+	default:
+	}
+}
+
+func (e *Exchange) sendTo(name string, queue chan message) {
 	for {
 		select {
-		case <-ctx.Done():
+		case <-e.ended:
 			return
-		case body := <-queue:
-			if err := e.node.Notify(name, methodStatus, body); err != nil {
+		case m := <-queue:
+			if err := e.node.Notify(name, m.method, m.body); err != nil {
 				e.log.WithField("peer", name).WithError(err).Debug("peers: Status not sent.")
 			}
 		}
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -173,15 +173,76 @@
 	return result == call.OrderAccepted || result == call.OrderHolds
 }
 
+const (
+	// adapterCopies is the number of targets that hold an adapter in use, so that
+	// one can be busy or lost.
+	adapterCopies = 3
+	// adapterSpread is how lately an adapter must have been asked for.
+	adapterSpread = 10 * time.Second
+	// spreadSteps bounds the loads of one look.
+	spreadSteps = 3
+	// slotsKept are left for adapters that are asked for.
+	slotsKept = 1
+)
+
+// spreadAdapters loads adapters in use at further targets with room.
+func (k *Keeper) spreadAdapters(list []*managed, engine *catalog.Engine, now time.Time) {
+	copies := make(map[string]int)
+	for _, m := range list {
+		m.mu.Lock()
+		for name := range m.adapters {
+			copies[name]++
+		}
+		m.mu.Unlock()
+	}
+	k.mu.Lock()
+	var wanted []string
+	for name, used := range k.adapterUse {
+		switch {
+		case now.Sub(used) > adapterSpread:
+			delete(k.adapterUse, name)
+		case copies[name] > 0 && copies[name] < adapterCopies:
+			wanted = append(wanted, name)
+		}
+	}
+	k.mu.Unlock()
+	slices.SortFunc(wanted, func(a, b string) int { return copies[a] - copies[b] })
+	for _, name := range wanted[:min(len(wanted), spreadSteps)] {
+		k.spread(list, name, engine)
+	}
+}
+
+// spread loads an adapter at the least loaded target that has room for it.
+func (k *Keeper) spread(list []*managed, name string, engine *catalog.Engine) {
+	model, adapter := cutAdapter(name)
+	var best *managed
+	var least time.Duration
+	for _, m := range list {
+		m.mu.Lock()
+		_, has := m.adapters[name]
+		fits := m.target.Usable() && m.known && !m.busy && !has && m.move == nil &&
+			m.adapterCount() < engine.AdapterSlots-slotsKept && slices.Contains(m.models, model)
+		m.mu.Unlock()
+		if work := k.work(m.target.ID); fits && (best == nil || work < least) {
+			best, least = m, work
+		}
+	}
+	if best != nil {
+		best.mu.Lock()
+		defer best.mu.Unlock()
+		k.order(best, call.Order{Kind: call.LoadAdapter, Model: model, Adapter: adapter, ExpectedOrders: best.orders})
+	}
+}
+
 // AdapterUsed notes that a call uses an adapter at a target.
 func (k *Keeper) AdapterUsed(targetID, name string) {
 	k.mu.Lock()
 	m := k.targets[targetID]
+	k.adapterUse[name] = k.now()
 	k.mu.Unlock()
-	if m == nil {
+	if m == nil || !m.mu.TryLock() {
 		return
 	}
-	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, ok := m.adapters[name]; ok {
 		m.adapters[name] = k.now()
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -106,6 +106,14 @@
 	delete(d.peers, run)
 }
 
+// Fold brings the rates up to date. It is called regularly, so that an instance
+// that takes over knows them.
+func (d *Demand) Fold(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fold(now)
+}
+
 // Rates returns the work for each model of a service in engines, and the models
 // that calls asked for in vain.
 func (d *Demand) Rates(service string, now time.Time) (map[string]float64, map[string]bool) {
--- a/internal/residency/holder.go
+++ b/internal/residency/holder.go
@@ -52,18 +52,37 @@
 	mu     sync.Mutex
 	state  *lease.State
 	readAt time.Time
-	// orderableAt is when this holder may give its first order.
+	// orderableAt is when this holder may give its first order to a target of
+	// which nothing else is known; orderableTo is the same for targets that the
+	// holder before told of.
 	orderableAt time.Time
-	stopping    bool
-	wasHeld     bool
+	orderableTo map[string]time.Time
+	// before is the token of the holder whose last orders are known in full.
+	before uint64
+	// ordered gives the time of the own last order to each target; endedToken is
+	// the token under which they were given, once the lease is lost.
+	ordered  map[string]time.Time
+	ownToken uint64
+	endedAt  time.Time
+	stopping bool
+	wasHeld  bool
+	// deadHolder held the lease under deadToken when its process ended, deadAt at
+	// the latest.
+	deadHolder string
+	deadToken  uint64
+	deadAt     time.Time
 }
 
+// deadRankDelay keeps candidates from racing for the lease of a dead holder.
+const deadRankDelay = 150 * time.Millisecond
+
 // NewHolding returns a holding of nothing. Two holders' orders lie at least
 // apart from each other.
 func NewHolding(objects platform.Objects, self, session string, apart time.Duration, names func() []string, logger log.Interface) *Holding {
 	return &Holding{
 		objects: objects, self: self, session: session, names: names, log: logger, now: boottime.Now, apart: apart,
-		state: lease.NewTimedState(self, session, lease.Timing{Duration: leaseDuration, RenewEvery: renewEvery}),
+		ordered: make(map[string]time.Time),
+		state:   lease.NewTimedState(self, session, lease.Timing{Duration: leaseDuration, RenewEvery: renewEvery}),
 	}
 }
 
@@ -86,13 +105,85 @@
 	return &peers.HeldLease{Record: record, Version: version}
 }
 
-// Held reports whether orders may be given now, and the fencing token.
+// Held reports whether the lease is held for long enough for an order, and its
+// fencing token.
 func (h *Holding) Held() (token uint64, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.Token(), h.held(h.now())
+}
+
+// held requires h.mu.
+func (h *Holding) held(now time.Time) bool {
+	return !h.stopping && h.state.Held(now.Add(orderMargin))
+}
+
+// MayOrder reports whether an order may be sent to a target now: the lease is
+// held, and the orders of the holder before lie far enough back.
+func (h *Holding) MayOrder(targetID string) (token uint64, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
-	ok = !h.stopping && h.state.Held(now.Add(orderMargin)) && !now.Before(h.orderableAt)
-	return h.state.Token(), ok
+	if !h.held(now) {
+		return h.state.Token(), false
+	}
+	from := h.orderableAt
+	if h.before+1 == h.state.Token() {
+		from = h.orderableTo[targetID]
+	}
+	return h.state.Token(), !now.Before(from)
+}
+
+// Ordered notes an order of this holder.
+func (h *Holding) Ordered(targetID string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ordered[targetID], h.ownToken = h.now(), h.state.Token()
+}
+
+// Ended returns what a holder that lost its lease tells for a while: the age of
+// its last order to each target. Nil means nothing.
+func (h *Holding) Ended() *peers.EndedLease {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	if h.ownToken == 0 || h.held(now) && h.state.Token() == h.ownToken || h.endedAt.IsZero() || now.Sub(h.endedAt) > 2*h.apart {
+		return nil
+	}
+	out := &peers.EndedLease{Token: h.ownToken, OrderedAgoMS: make(map[string]int64)}
+	for id, at := range h.ordered {
+		if ago := now.Sub(at); ago < 2*h.apart {
+			out.OrderedAgoMS[id] = ago.Milliseconds()
+		}
+	}
+	return out
+}
+
+// HeardEnded takes what the holder before tells of its last orders: targets that
+// it has left alone for long enough may be ordered at once.
+func (h *Holding) HeardEnded(e *peers.EndedLease) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e.Token+1 != h.state.Token() || h.before == e.Token {
+		return
+	}
+	now := h.now()
+	h.before, h.orderableTo = e.Token, make(map[string]time.Time)
+	for id, ago := range e.OrderedAgoMS {
+		h.orderableTo[id] = now.Add(h.apart + settleMargin - time.Duration(ago)*time.Millisecond)
+	}
+}
+
+// PeerEnded notes that the process of an instance has certainly ended. If it held
+// the lease, it gives no further order, so that the lease may be taken over at
+// once; the time between orders counts from now.
+func (h *Holding) PeerEnded(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state.Holder() != name || h.state.Held(h.now()) {
+		return
+	}
+	h.deadHolder, h.deadToken, h.deadAt = name, h.state.Token(), h.now()
 }
 
 // Holder returns the instance that holds the lease as far as known.
@@ -130,6 +221,7 @@
 	now := h.now()
 	held := h.state.Held(now)
 	if h.wasHeld && !held {
+		h.endedAt = now
 		h.log.WithField("token", h.state.Token()).Warn("residency: Placement lease lost.")
 	}
 	h.wasHeld = held
@@ -144,6 +236,10 @@
 		rank = 0
 	}
 	action := h.state.Next(now, rank)
+	if action == lease.Wait && !held && h.deadToken != 0 && h.deadToken == h.state.Token() && h.state.Holder() == h.deadHolder &&
+		now.Sub(h.deadAt) >= time.Duration(rank)*deadRankDelay {
+		action = lease.Acquire
+	}
 	h.mu.Unlock()
 	switch {
 	case action == lease.Acquire || action == lease.Renew:
@@ -202,9 +298,15 @@
 	h.state.Wrote(action, record, uint64(object.Version), sentAt, now)
 	if action == lease.Acquire {
 		h.orderableAt = now
-		if record.Token > 1 {
+		switch {
+		case record.Token <= 1:
+		case h.deadToken+1 == record.Token:
+			h.orderableAt = h.deadAt.Add(h.apart + settleMargin)
+		default:
 			h.orderableAt = h.state.FreeSince().Add(h.apart + settleMargin)
 		}
+		h.wasHeld, h.endedAt = true, time.Time{}
+		clear(h.ordered)
 		h.log.WithField("token", record.Token).Info("residency: Placement lease acquired.")
 	}
 }
@@ -234,8 +336,12 @@
 	h.mu.Lock()
 	held := h.state.Held(h.now())
 	h.stopping = true
+	if held {
+		h.endedAt = h.now()
+	}
 	h.mu.Unlock()
 	if held {
 		h.write(ctx, lease.Release)
+		h.log.Info("residency: Placement lease released.")
 	}
 }
--- a/internal/residency/keeper.go
+++ b/internal/residency/keeper.go
@@ -19,11 +19,11 @@
 
 const (
 	// keepInterval is the time between two looks at placement.
-	keepInterval = 150 * time.Millisecond
+	keepInterval = 100 * time.Millisecond
 	// reportEvery is the time between reports of a target at rest; askAgain of
 	// one whose state is in doubt. Each report is priced as a probe.
 	reportEvery = 1500 * time.Millisecond
-	askAgain    = 250 * time.Millisecond
+	askAgain    = 130 * time.Millisecond
 	// reportTimeout bounds one report.
 	reportTimeout = 400 * time.Millisecond
 	// storeLoadBurst is the number of loads from the weight store that may begin
@@ -57,7 +57,9 @@
 	// loads is the number of loads from the weight store that may begin, by
 	// service.
 	loads map[string]*loadBudget
-	token uint64
+	grown map[string]growth
+	// adapterUse is when each adapter, MODEL/ADAPTER, was last used.
+	adapterUse map[string]time.Time
 }
 
 type loadBudget struct {
@@ -89,7 +91,7 @@
 	k := &Keeper{
 		holding: c.Holding, operator: c.Operator, fleet: c.Fleet, catalog: c.Catalog, demand: c.Demand, view: c.View,
 		node: c.Node, log: c.Log, now: time.Now, poke: c.Poke, work: c.Work,
-		targets: make(map[string]*managed), loads: make(map[string]*loadBudget),
+		targets: make(map[string]*managed), loads: make(map[string]*loadBudget), grown: make(map[string]growth), adapterUse: make(map[string]time.Time),
 		metrics: keeperMetrics{
 			orders:  prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_orders_total", Help: "Orders sent to targets."}),
 			reports: prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_reports_total", Help: "Reports asked of targets."}),
@@ -106,8 +108,8 @@
 	ticker := time.NewTicker(keepInterval)
 	defer ticker.Stop()
 	for {
-		if token, ok := k.holding.Held(); ok {
-			k.keep(token)
+		if _, ok := k.holding.Held(); ok {
+			k.keep()
 		} else {
 			k.rest()
 		}
@@ -130,14 +132,11 @@
 }
 
 // keep looks at all targets of engine services once.
-func (k *Keeper) keep(token uint64) {
+func (k *Keeper) keep() {
 	state := k.catalog.Current()
 	if state == nil {
 		return
 	}
-	k.mu.Lock()
-	k.token = token
-	k.mu.Unlock()
 	view := k.fleet.View()
 	k.track(view, state)
 	now := k.now()
@@ -149,6 +148,7 @@
 		k.refresh(list, now)
 		k.planService(name, service.Engine, view, list, now)
 		k.advanceAll(list, service.Engine)
+		k.spreadAdapters(list, service.Engine, now)
 	}
 }
 
@@ -168,9 +168,7 @@
 		}
 		m.mu.Lock()
 		if m.target.BornMS != t.BornMS {
-			m.known, m.orders, m.move, m.models = false, 0, nil, nil
-			m.adapters, m.busy, m.acceptedAt, m.sentAt = make(map[string]time.Time), false, time.Time{}, time.Time{}
-			m.changed = true
+			m.forget()
 		}
 		m.target = t
 		m.mu.Unlock()
@@ -242,6 +240,7 @@
 func (k *Keeper) planService(service string, engine *catalog.Engine, view *fleet.View, list []*managed, now time.Time) {
 	s := Situation{Engine: engine, Coming: make(map[string]int), StoreLoads: k.loadsLeft(service, engine, now)}
 	s.Demand, s.Wanted = k.demand.Rates(service, now)
+	s.Settled = k.settled(service, list, now)
 	byID := make(map[string]*managed, len(list))
 	for _, m := range list {
 		byID[m.target.ID] = m
@@ -261,6 +260,31 @@
 	}
 }
 
+// settleTime is how long the list of targets must not have grown before models
+// without a copy are restored for their own sake: targets announce themselves one
+// after the other.
+const settleTime = 2500 * time.Millisecond
+
+// settled reports whether the targets are known well enough to tell that a model
+// has no copy.
+func (k *Keeper) settled(service string, list []*managed, now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	seen := k.grown[service]
+	if len(list) > seen.count {
+		seen.at = now
+	}
+	seen.count = len(list)
+	k.grown[service] = seen
+	return now.Sub(seen.at) >= settleTime
+}
+
+// growth is when the list of targets last grew.
+type growth struct {
+	count int
+	at    time.Time
+}
+
 // slot requires m.mu.
 func (k *Keeper) slot(m *managed, view *fleet.View, now time.Time) Slot {
 	held := slices.Clone(m.models)
@@ -364,12 +388,13 @@
 
 // order requires m.mu. It gives one order if the lease is held.
 func (k *Keeper) order(m *managed, o call.Order) call.OrderResult {
-	token, ok := k.holding.Held()
+	token, ok := k.holding.MayOrder(m.target.ID)
 	if !ok {
 		return call.OrderRefused
 	}
 	o.Holder, o.Fence = k.node.Self().Name, token
 	k.metrics.orders.Inc()
+	k.holding.Ordered(m.target.ID)
 	result, err := k.operator.Order(m.target.Address, m.target.ID, o, orderTimeout)
 	fields := log.Fields{
 		"target": m.target.ID, "kind": int(o.Kind), "model": o.Model, "adapter": o.Adapter,
@@ -386,6 +411,14 @@
 	return result
 }
 
+// forget requires m.mu. The target has begun anew.
+func (m *managed) forget() {
+	m.known, m.orders, m.busy, m.models, m.atHand, m.move = false, 0, false, nil, nil, nil
+	m.adapters = make(map[string]time.Time)
+	m.askedAt, m.reportedAt, m.acceptedAt, m.sentAt = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	m.changed = true
+}
+
 // Told returns what the targets hold, for the status of this instance.
 func (k *Keeper) Told(full bool) []peers.Placed {
 	k.mu.Lock()
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -12,13 +12,17 @@
 const (
 	// minLoad is the work for a model on each of its copies, in engines, below
 	// which no further copy is made: the copies answer without waiting.
-	minLoad = 0.04
+	minLoad = 0.08
+	// minStoreLoad is the same for loads from the weight store. They are few a
+	// second, and those for a model that becomes busy must not wait for others.
+	minStoreLoad = 0.14
+	// soleFactor weighs the work for a model with one copy, and soleWork is the
+	// least work that counts so.
+	soleFactor = 2.0
+	soleWork   = 0.05
 	// gainFactor is how much busier the copies of a model have to be than those
 	// of the model that makes way. It keeps placements from swinging.
 	gainFactor = 2.0
-	// spareCopies is the number of copies of a model with demand that are wanted
-	// before others get more.
-	spareCopies = 2
 )
 
 // Slot is one target as the planner sees it.
@@ -47,6 +51,9 @@
 	Demand map[string]float64
 	// Wanted are models for which calls found no target.
 	Wanted map[string]bool
+	// Settled is set once all targets are known, so that a model that none holds
+	// has no copy.
+	Settled bool
 	// StoreLoads is the number of loads from the weight store allowed now.
 	StoreLoads int
 }
@@ -66,7 +73,9 @@
 func Plan(s Situation) []Step {
 	p := newPlanning(s)
 	for _, model := range p.missing() {
-		p.place(model, 0)
+		if s.Settled || s.Wanted[model] {
+			p.place(model, 0)
+		}
 	}
 	for range s.Slots {
 		model, load := p.busiest()
@@ -142,8 +151,8 @@
 			continue
 		}
 		load := p.loadOf(name, n)
-		if n < spareCopies && p.Demand[name] > 0 {
-			load *= 2
+		if n == 1 && p.Demand[name] >= soleWork {
+			load *= soleFactor
 		}
 		if load > most || load == most && name < best {
 			best, most = name, load
@@ -157,7 +166,9 @@
 	slot   Slot
 	unload string
 	// cost is the work on each remaining copy of the model that makes way.
-	cost   float64
+	cost float64
+	// spare is the number of copies of that model.
+	spare  int
 	atHand bool
 }
 
@@ -173,7 +184,7 @@
 		if !ok || load > 0 && o.unload != "" && o.cost*gainFactor > load {
 			continue
 		}
-		if !o.atHand && p.StoreLoads <= 0 {
+		if !o.atHand && (p.StoreLoads <= 0 || load > 0 && load < minStoreLoad) {
 			continue
 		}
 		if !found || p.better(o, best) {
@@ -212,8 +223,9 @@
 		if p.copies[held] < 2 || p.room(slot, held) < p.Engine.Models[model].WeightsMB {
 			continue
 		}
-		if cost := p.loadOf(held, p.copies[held]-1); cost < o.cost {
-			o.unload, o.cost = held, cost
+		cost, spare := p.loadOf(held, p.copies[held]-1), p.copies[held]
+		if cost < o.cost || cost == o.cost && spare > o.spare {
+			o.unload, o.cost, o.spare = held, cost, spare
 		}
 	}
 	return o, o.unload != ""
@@ -254,6 +266,9 @@
 	if a.cost != b.cost {
 		return a.cost < b.cost
 	}
+	if a.spare != b.spare {
+		return a.spare > b.spare
+	}
 	if a.slot.Work != b.slot.Work {
 		return a.slot.Work < b.slot.Work
 	}
--- a/internal/residency/target.go
+++ b/internal/residency/target.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// reportLag is how far a target's report may lie behind: one that was asked
-	// for sooner after an order may not show it.
-	reportLag = 350 * time.Millisecond
+	// staleFor is how long a report that shows fewer orders than were accepted is
+	// taken to lag; after that the count of this instance is taken to be wrong.
+	staleFor = 2 * time.Second
 	// resendAfter is the time after which an order without effect is given again.
 	resendAfter = 800 * time.Millisecond
 	// moveTimeout ends a move that makes no progress, so that the plan is made
@@ -21,7 +21,9 @@
 	moveTimeout = 20 * time.Second
 	// announceLead is the time between telling peers that a model gets no new
 	// work and the order to unload it.
-	announceLead = 200 * time.Millisecond
+	announceLead = 120 * time.Millisecond
+	// freshFor is how old a report may be for an order that changes models.
+	freshFor = 3 * time.Second
 	// orderTimeout bounds one order.
 	orderTimeout = 400 * time.Millisecond
 )
@@ -42,7 +44,10 @@
 	adapters map[string]time.Time
 	atHand   []string
 	busy     bool
-	askedAt  time.Time
+	// askedAt is when a report was last asked for, reportedAt when the newest one
+	// that counted was.
+	askedAt    time.Time
+	reportedAt time.Time
 	// acceptedAt is when the last order was accepted; sentAt when the last order
 	// for the move was sent.
 	acceptedAt time.Time
@@ -58,19 +63,15 @@
 	// loadFrom is when the load was accepted; eta how long it takes.
 	loadFrom time.Time
 	eta      time.Duration
-	counted  bool
 }
 
-// observe takes a report that was asked for at the time asked. Reports that lag
-// behind accepted orders are ignored.
+// observe takes a report that was asked for at the time asked. A report that
+// lags shows fewer orders than were accepted, and is ignored.
 func (m *managed) observe(r fleet.Report, asked time.Time) {
-	if m.known && r.Orders < m.orders && asked.Sub(m.acceptedAt) < 2*time.Second {
+	if m.known && r.Orders < m.orders && asked.Sub(m.acceptedAt) < staleFor {
 		return
 	}
-	if m.known && r.Orders == m.orders && asked.Sub(m.acceptedAt) < reportLag {
-		return
-	}
-	m.known, m.orders, m.busy, m.askedAt = true, r.Orders, r.OrderInProgress, asked
+	m.known, m.orders, m.busy, m.reportedAt = true, r.Orders, r.OrderInProgress, asked
 	m.models = nil
 	before := m.adapters
 	m.adapters = make(map[string]time.Time)
@@ -126,14 +127,15 @@
 // fresh reports whether the knowledge is good enough for an order that changes
 // models.
 func (m *managed) fresh(now time.Time) bool {
-	return m.known && !m.busy && m.askedAt.Sub(m.acceptedAt) >= reportLag && now.Sub(m.askedAt) < 2*time.Second
+	return m.known && !m.busy && now.Sub(m.reportedAt) < freshFor
 }
 
 // due returns the order that the move needs next, or false if it has to wait or
 // is done.
 func (m *managed) due(now time.Time) (call.Order, bool) {
 	mv := m.move
-	if mv == nil || !m.fresh(now) || now.Sub(m.sentAt) < resendAfter && !m.sentAt.IsZero() && m.acceptedAt.Before(m.sentAt) {
+	unanswered := m.acceptedAt.Before(m.sentAt)
+	if mv == nil || !m.fresh(now) || unanswered && now.Sub(m.sentAt) < resendAfter {
 		return call.Order{}, false
 	}
 	if mv.Unload != "" && slices.Contains(m.models, mv.Unload) {
