Refuse calls late in a planned stop; a fresh instance earns its burst

Change: calls are refused, not run, 2.6 s after SIGTERM; a bucket starts with what its instance earned since its start.

--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -53,7 +53,8 @@
 // Quota bounds what client accounts use over all instances. It is safe for
 // concurrent use.
 type Quota struct {
-	bounds QuotaBounds
+	bounds  QuotaBounds
+	started time.Time
 
 	mu       sync.Mutex
 	accounts map[string]*bucket
@@ -63,8 +64,8 @@
 }
 
 // NewQuota returns a quota that nothing was spent of.
-func NewQuota(b QuotaBounds) *Quota {
-	return &Quota{bounds: b, accounts: make(map[string]*bucket), share: 1}
+func NewQuota(b QuotaBounds, now time.Time) *Quota {
+	return &Quota{bounds: b, started: now, accounts: make(map[string]*bucket), share: 1}
 }
 
 // SetShare sets the part of each rate that may be spent by this instance and the
@@ -92,8 +93,10 @@
 func (q *Quota) bucket(account string, limit AccountLimit, now time.Time) *bucket {
 	b := q.accounts[account]
 	if b == nil {
-		// Others may have spent the burst before this instance heard of it.
-		b = &bucket{limit: limit, level: limit.Burst * q.share * startShare, at: now, peers: make(map[string]float64)}
+		// Others, or a run of this instance before, may have spent the burst: it is
+		// earned from the start.
+		earned := now.Sub(q.started).Seconds() * limit.Rate * q.share
+		b = &bucket{limit: limit, level: min(limit.Burst, earned), at: now, peers: make(map[string]float64)}
 		q.accounts[account] = b
 	}
 	if b.limit != limit {
@@ -104,9 +107,6 @@
 	return b
 }
 
-// startShare is the part of a burst that an instance counts on at its start.
-const startShare = 0.5
-
 func (b *bucket) refill(now time.Time, share float64) {
 	if passed := now.Sub(b.at).Seconds(); passed > 0 {
 		b.level = min(b.level+passed*b.limit.Rate*share, b.limit.Burst)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,9 +56,10 @@
 	snapshotTimeout = 500 * time.Millisecond
 	// drainMargin is kept of the grace for ending the process.
 	drainMargin = 600 * time.Millisecond
-	// drainQuiet is how long no call must have run before a stop: the balancer
-	// needs two misses, a second apart, and callers keep open connections.
-	drainQuiet = 2500 * time.Millisecond
+	// drainOpen is how long a stopping instance goes on taking calls: the balancer
+	// needs two misses, a second apart. What comes later is refused, as it might
+	// not end within the grace.
+	drainOpen = 2600 * time.Millisecond
 )
 
 // Dependencies are the outside systems of an instance.
@@ -106,7 +107,7 @@
 		catalog: catalog.NewHolder(), fleet: fleet.NewTable(), board: dispatch.NewBoard(),
 		quota: allowance.NewQuota(allowance.QuotaBounds{
 			Window: seconds(s.Bounds.QuotaWindowSeconds), Overshoot: s.Bounds.QuotaOvershoot, Slack: s.Bounds.QuotaSlack,
-		}),
+		}, time.Now()),
 		view: residency.NewView(), demand: residency.NewDemand(),
 	}
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -237,13 +238,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
 	g.holding.Release(ctx)
-	quietSince := time.Now()
-	for time.Now().Before(ends) && time.Since(quietSince) < drainQuiet {
-		time.Sleep(housekeeping / 5)
-		if g.server.Running() > 0 {
-			quietSince = time.Now()
-		}
-	}
+	pause(ctx, min(drainOpen, time.Until(ends)/2))
+	g.server.Close()
+	g.log.WithField("running", g.server.Running()).Info("gateway: No further calls are taken.")
 	if err := callers.Shutdown(ctx); err != nil {
 		g.log.WithField("running", g.server.Running()).WithError(err).Warn("gateway: Calls cut at the end of the grace.")
 	}
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -34,6 +34,8 @@
 	// noStateRetry is the time after which an instance has usually learned the
 	// state in force.
 	noStateRetry = 500 * time.Millisecond
+	// stoppingRetry is short: a retry reaches another instance.
+	stoppingRetry = 20 * time.Millisecond
 	// noTargetRetry is the time after which a target has usually come back.
 	noTargetRetry = 700 * time.Millisecond
 )
@@ -86,6 +88,8 @@
 	metrics *metrics
 	// leaving is set once the instance stops: answers then end their connection.
 	leaving atomic.Bool
+	// closed is set once a stopping instance takes no further calls.
+	closed  atomic.Bool
 	running atomic.Int64
 }
 
@@ -97,6 +101,9 @@
 // Leave makes each answer the last of its connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
+// Close makes the server refuse further calls.
+func (s *Server) Close() { s.closed.Store(true) }
+
 // Running returns the number of calls without a final answer.
 func (s *Server) Running() int64 { return s.running.Load() }
 
@@ -113,6 +120,10 @@
 		s.refuse(w, nil, http.StatusBadRequest, "malformed", 0)
 		return
 	}
+	if s.closed.Load() {
+		s.refuse(w, c, http.StatusServiceUnavailable, "stopping", stoppingRetry)
+		return
+	}
 	f := &flight{Server: s, w: w, r: r, call: c}
 	f.serve()
 }
