Quota over cut zones, relayed lists, no takeover by refused connections

Change: a refused connection ends nothing but the peer's load; peers' spending is extrapolated until they count as cut off, and instances pace themselves on a nearly empty bucket; a relayed word ends the outage for the list of targets.

--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -25,7 +25,7 @@
 
 // slackUsed is the part of the slack that is given to accounts. The rest covers
 // what peers spend before their word arrives.
-const slackUsed = 0.7
+const slackUsed = 0.5
 
 // widen returns the limit that keeps within the bounds.
 func (b QuotaBounds) widen(l AccountLimit) AccountLimit {
@@ -44,12 +44,77 @@
 	limit AccountLimit
 	level float64
 	at    time.Time
+	// pace is the level of the own part while the bucket is nearly empty.
+	pace    float64
+	pacedAt time.Time
 	// spent counts all units that this instance spent.
 	spent float64
-	// peers holds the newest count of each peer.
-	peers map[string]float64
+	// peers holds the newest word of each run of a peer.
+	peers map[string]peerSpending
 }
 
+// peerSpending is what a peer told last, and how fast it has been spending.
+type peerSpending struct {
+	units float64
+	rate  float64
+	at    time.Time
+	// silent is set once the peer counts as cut off: it spends from its own share.
+	silent bool
+}
+
+const (
+	// rateWeight is the weight of the newest word in a peer's rate.
+	rateWeight = 0.3
+	// assumedFor is how long a silent peer is taken to go on spending: by then it
+	// counts as cut off, and spends from its own share.
+	assumedFor = 1500 * time.Millisecond
+)
+
+// assumed returns what peers have probably spent since their last word.
+func (b *bucket) assumed(now time.Time) float64 {
+	sum := 0.0
+	for run, p := range b.peers {
+		if p.silent {
+			continue
+		}
+		if silent := now.Sub(p.at); silent < assumedFor {
+			sum += p.rate * silent.Seconds()
+			continue
+		}
+		b.level -= p.rate * assumedFor.Seconds()
+		p.silent = true
+		b.peers[run] = p
+	}
+	return sum
+}
+
+// told takes the newest count of a peer's run and returns what it adds to what
+// was known.
+func (b *bucket) told(run string, units float64, now time.Time) float64 {
+	before, known := b.peers[run]
+	if !known {
+		b.peers[run] = peerSpending{units: units, at: now}
+		return 0
+	}
+	if before.silent {
+		// What it spent meanwhile came from its own share.
+		b.peers[run] = peerSpending{units: units, rate: before.rate, at: now}
+		return 0
+	}
+	added := units - before.units
+	passed := now.Sub(before.at).Seconds()
+	rate := before.rate
+	if passed > 0 {
+		weight := min(1, rateWeight*max(1, passed/wordInterval.Seconds()))
+		rate += weight * (added/passed - rate)
+	}
+	b.peers[run] = peerSpending{units: units, rate: max(0, rate), at: now}
+	return added
+}
+
+// wordInterval is the usual time between two words of a busy peer.
+const wordInterval = 100 * time.Millisecond
+
 // Quota bounds what client accounts use over all instances. It is safe for
 // concurrent use.
 type Quota struct {
@@ -58,6 +123,8 @@
 
 	mu       sync.Mutex
 	accounts map[string]*bucket
+	// heard is the number of instances that spend from this bucket.
+	heard int
 	// share is the part of each rate that this instance counts on: 1 while all
 	// instances hear one another.
 	share float64
@@ -65,14 +132,16 @@
 
 // NewQuota returns a quota that nothing was spent of.
 func NewQuota(b QuotaBounds, now time.Time) *Quota {
-	return &Quota{bounds: b, started: now, accounts: make(map[string]*bucket), share: 1}
+	return &Quota{bounds: b, started: now, accounts: make(map[string]*bucket), share: 1, heard: 1}
 }
 
 // SetShare sets the part of each rate that may be spent by this instance and the
-// peers that it hears, 0 to 1. The others are taken to spend the rest.
-func (q *Quota) SetShare(share float64, now time.Time) {
+// peers that it hears, 0 to 1, and their number. The others are taken to spend
+// the rest.
+func (q *Quota) SetShare(share float64, heard int, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.heard = max(1, heard)
 	if share == q.share {
 		return
 	}
@@ -96,7 +165,7 @@
 		// Others, or a run of this instance before, may have spent the burst: it is
 		// earned from the start.
 		earned := now.Sub(q.started).Seconds() * limit.Rate * q.share
-		b = &bucket{limit: limit, level: min(limit.Burst, earned), at: now, peers: make(map[string]float64)}
+		b = &bucket{limit: limit, level: min(limit.Burst, earned), at: now, peers: make(map[string]peerSpending)}
 		q.accounts[account] = b
 	}
 	if b.limit != limit {
@@ -126,15 +195,36 @@
 	b := q.bucket(account, limit, now)
 	b.refill(now, q.share)
 	need := min(units, limit.Burst)
-	if b.level < need {
-		rate := max(b.limit.Rate*q.share, 1)
-		return time.Duration((need - b.level) / rate * float64(time.Second)), false
+	left := b.level - b.assumed(now)
+	rate := max(b.limit.Rate*q.share, 1)
+	if left < need {
+		return time.Duration((need - left) / rate * float64(time.Second)), false
+	}
+	own := paceFactor * rate / float64(q.heard)
+	if left < need*float64(q.heard) && b.paced(need, own, now) {
+		return time.Duration(need / own * float64(time.Second)), false
 	}
 	b.level -= units
+	b.pace -= units
 	b.spent += units
 	return 0, true
 }
 
+// paceFactor is how far one instance may exceed an equal part of a rate while the
+// bucket is nearly empty: callers are spread unevenly.
+const paceFactor = 1.5
+
+// paced reports whether this instance has to leave the rest of a nearly empty
+// bucket to others. Without it, all instances would take the last units at once,
+// before they hear of one another. The rate is the instance's own part.
+func (b *bucket) paced(need, rate float64, now time.Time) bool {
+	if passed := now.Sub(b.pacedAt).Seconds(); passed > 0 {
+		b.pace = min(b.pace+passed*rate, need)
+		b.pacedAt = now
+	}
+	return b.pace < need
+}
+
 // Return gives back units of a call that did not run.
 func (q *Quota) Return(account string, units float64) {
 	q.mu.Lock()
@@ -165,29 +255,33 @@
 	return out
 }
 
-// PeerSpent takes the counts of one run of a peer. The first count of a run that
-// was met late is not deducted: its spending lies before this instance's own
-// knowledge.
-func (q *Quota) PeerSpent(run string, first bool, list []Spending) {
+// runsKept is how long the word of a silent run is kept.
+const runsKept = time.Minute
+
+// Track makes an account known, so that what peers spend of it counts before its
+// first call at this instance.
+func (q *Quota) Track(account string, limit AccountLimit, now time.Time) {
+	if limit.Rate <= 0 {
+		return
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, s := range list {
-		b := q.accounts[s.Account]
-		if b == nil {
-			continue
+	b := q.bucket(account, q.bounds.widen(limit), now)
+	for run, p := range b.peers {
+		if now.Sub(p.at) > runsKept {
+			delete(b.peers, run)
 		}
-		if before, known := b.peers[run]; known || !first {
-			b.level -= s.Units - before
-		}
-		b.peers[run] = s.Units
 	}
 }
 
-// PeerGone forgets the counts of a run that has ended.
-func (q *Quota) PeerGone(run string) {
+// PeerSpent takes the counts of one run of a peer. What a run had spent before its
+// first word is not deducted, unless the run itself is new.
+func (q *Quota) PeerSpent(run string, list []Spending, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, b := range q.accounts {
-		delete(b.peers, run)
+	for _, s := range list {
+		if b := q.accounts[s.Account]; b != nil {
+			b.level -= b.told(run, s.Units, now)
+		}
 	}
 }
--- a/internal/allowance/window.go
+++ b/internal/allowance/window.go
@@ -186,9 +186,8 @@
 	}
 }
 
-// Share returns the part of the fleet that is heard: what self and heard peers
-// make of all known instances, those that certainly ended left out.
-func Share(heard, known, ended int) float64 {
-	living := max(1, known-ended)
-	return math.Min(1, float64(heard)/float64(living))
+// Share returns the part of the fleet that is heard, of the instances that may be
+// alive; self counts in both.
+func Share(heard, known int) float64 {
+	return math.Min(1, float64(heard)/float64(max(1, known)))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -370,7 +370,18 @@
 		g.board.Forget(listed, now)
 		g.view.Forget(listed)
 		known, heard := g.exchange.Known()
-		g.quota.SetShare(allowance.Share(heard, known, 0), now)
+		g.quota.SetShare(allowance.Share(heard, known), heard, now)
+		g.trackAccounts(now)
 	}
 	return ctx.Err()
 }
+
+func (g *Gateway) trackAccounts(now time.Time) {
+	state := g.catalog.Current()
+	if state == nil {
+		return
+	}
+	for _, a := range state.Accounts {
+		g.quota.Track(a.Name, allowance.AccountLimit{Rate: a.Rate, Burst: a.Burst}, now)
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -91,7 +91,10 @@
 			f.Heard(w)
 		}
 	}
-	s.catalog.Confirm(time.Now())
+	// The peer reads the store: what it lists is as the store has it.
+	now := time.Now()
+	s.catalog.Confirm(now)
+	s.fleet.StoreBack(now)
 }
 
 // Sinks of the three followers.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -34,7 +34,7 @@
 func (g *Gateway) take(from peers.Peer, s *peers.Status, newRun bool) {
 	now := time.Now()
 	g.board.PeerLoads(from.Name, s.Loads, s.Read, now)
-	g.quota.PeerSpent(s.Run, newRun, s.Spent)
+	g.quota.PeerSpent(s.Run, s.Spent, now)
 	g.demand.Heard(s.Run, s.Demand, now)
 	for _, r := range s.Read {
 		if r.Adapter != "" {
@@ -115,11 +115,7 @@
 // gone forgets a run of a peer that has ended.
 func (g *Gateway) gone(p peers.Peer) {
 	g.board.PeerGone(p.Name)
-	g.quota.PeerGone(p.Run)
 	g.demand.Gone(p.Run)
-	if p.Ended {
-		g.holding.PeerEnded(p.Name)
-	}
 }
 
 // placement joins what the view and the keeper know for callers.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -114,8 +114,10 @@
 	StoreLost bool
 	HeardAt   time.Time
 	KnownAt   time.Time
-	// Ended is set once its address refused a connection.
-	Ended bool
+	// Refused is set while its address refuses connections: its process has ended,
+	// or a cut of the network answers in its place. It is not taken for an end
+	// where that would spend what the peer may spend too.
+	Refused bool
 	// seq is the number of the newest status of the run.
 	seq uint64
 }
@@ -176,7 +178,7 @@
 func (e *Exchange) publishNames() {
 	out := []string{e.node.Self().Name}
 	for name, p := range e.known {
-		if !p.Ended {
+		if !p.Leaving || !p.Refused {
 			out = append(out, name)
 		}
 	}
@@ -276,23 +278,22 @@
 	return out
 }
 
-// dialFailed notes a peer whose address refuses connections: its process has
-// certainly ended.
+// dialFailed notes a peer whose address refuses connections.
 func (e *Exchange) dialFailed(p mesh.PeerAddress, err error) {
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
 	e.mu.Lock()
 	known := e.known[p.Name]
-	if known == nil || known.Address != p.Address || known.Ended {
+	if known == nil || known.Address != p.Address || known.Refused {
 		e.mu.Unlock()
 		return
 	}
-	known.Ended = true
+	known.Refused = true
 	e.publishNames()
 	gone := *known
 	e.mu.Unlock()
-	e.log.WithField("peer", p.Name).Info("peers: Peer has ended.")
+	e.log.WithField("peer", p.Name).Info("peers: Peer refuses connections.")
 	e.Gone(gone)
 }
 
@@ -322,8 +323,8 @@
 	before := *p
 	p.seq = s.Seq
 	p.Run, p.HeardAt, p.Leaving, p.Zone, p.StoreLost = s.Run, now, s.Leaving, s.Zone, s.StoreLost
-	if p.Ended || fresh {
-		p.Ended = false
+	p.Refused = false
+	if fresh || before.Refused || before.Leaving != p.Leaving {
 		e.publishNames()
 	}
 	peer := *p
--- a/internal/residency/holder.go
+++ b/internal/residency/holder.go
@@ -25,6 +25,8 @@
 	renewEvery    = 700 * time.Millisecond
 	// readAgain is the time between reads of a lease that no peer tells of.
 	readAgain = time.Second
+	// writeAgain is the time between attempts to take the lease over.
+	writeAgain = 500 * time.Millisecond
 	// maxRank bounds the delay of candidates behind the first.
 	maxRank = 4
 	// orderMargin is the rest of a lease that an order needs: the order must
@@ -59,23 +61,17 @@
 	orderableTo map[string]time.Time
 	// before is the token of the holder whose last orders are known in full.
 	before uint64
-	// ordered gives the time of the own last order to each target; endedToken is
-	// the token under which they were given, once the lease is lost.
+	// ordered gives the time of the own last order to each target, ownToken the
+	// token under which they were given, endedAt when the lease was lost.
 	ordered  map[string]time.Time
 	ownToken uint64
 	endedAt  time.Time
 	stopping bool
 	wasHeld  bool
-	// deadHolder held the lease under deadToken when its process ended, deadAt at
-	// the latest.
-	deadHolder string
-	deadToken  uint64
-	deadAt     time.Time
+	// failedAt is when a write last failed.
+	failedAt time.Time
 }
 
-// deadRankDelay keeps candidates from racing for the lease of a dead holder.
-const deadRankDelay = 150 * time.Millisecond
-
 // NewHolding returns a holding of nothing. Two holders' orders lie at least
 // apart from each other.
 func NewHolding(objects platform.Objects, self, session string, apart time.Duration, names func() []string, logger log.Interface) *Holding {
@@ -174,18 +170,6 @@
 	}
 }
 
-// PeerEnded notes that the process of an instance has certainly ended. If it held
-// the lease, it gives no further order, so that the lease may be taken over at
-// once; the time between orders counts from now.
-func (h *Holding) PeerEnded(name string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.state.Holder() != name || h.state.Held(h.now()) {
-		return
-	}
-	h.deadHolder, h.deadToken, h.deadAt = name, h.state.Token(), h.now()
-}
-
 // Holder returns the instance that holds the lease as far as known.
 func (h *Holding) Holder() string {
 	h.mu.Lock()
@@ -236,12 +220,9 @@
 		rank = 0
 	}
 	action := h.state.Next(now, rank)
-	if action == lease.Wait && !held && h.deadToken != 0 && h.deadToken == h.state.Token() && h.state.Holder() == h.deadHolder &&
-		now.Sub(h.deadAt) >= time.Duration(rank)*deadRankDelay {
-		action = lease.Acquire
-	}
 	h.mu.Unlock()
 	switch {
+	case action == lease.Acquire && h.failedLately(now):
 	case action == lease.Acquire || action == lease.Renew:
 		h.write(ctx, action)
 	case due:
@@ -249,6 +230,14 @@
 	}
 }
 
+// failedLately reports whether a write failed a short time ago: a store that is
+// away is not asked ten times a second.
+func (h *Holding) failedLately(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.failedAt) < writeAgain
+}
+
 // read looks the lease up in the store.
 func (h *Holding) read(ctx context.Context) {
 	object, err := h.objects.Get(ctx, leaseKey)
@@ -286,6 +275,9 @@
 	}
 	object, err := h.put(ctx, value, version, record)
 	if err != nil {
+		h.mu.Lock()
+		h.failedAt = h.now()
+		h.mu.Unlock()
 		h.log.WithField("action", int(action)).WithError(err).Info("residency: Placement lease not written.")
 		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) {
 			h.read(ctx)
@@ -298,11 +290,7 @@
 	h.state.Wrote(action, record, uint64(object.Version), sentAt, now)
 	if action == lease.Acquire {
 		h.orderableAt = now
-		switch {
-		case record.Token <= 1:
-		case h.deadToken+1 == record.Token:
-			h.orderableAt = h.deadAt.Add(h.apart + settleMargin)
-		default:
+		if record.Token > 1 {
 			h.orderableAt = h.state.FreeSince().Add(h.apart + settleMargin)
 		}
 		h.wasHeld, h.endedAt = true, time.Time{}
