A placement lease for each availability zone; loads counted when ordered

Change: each zone has its own lease, planner and part of the store's load rate; copies elsewhere count while their zone is heard; the budget is taken at the order.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,7 +88,7 @@
 	followed *followed
 	node     *mesh.Node
 	exchange *peers.Exchange
-	holding  *residency.Holding
+	leases   *residency.Leases
 	keeper   *residency.Keeper
 	view     *residency.View
 	demand   *residency.Demand
@@ -134,9 +134,10 @@
 
 func (g *Gateway) wireResidency() {
 	gap := time.Duration(g.settings.Bounds.OrderGapMS) * time.Millisecond
-	g.holding = residency.NewHolding(g.deps.Objects, g.settings.Name, uuid.NewString(), gap, g.exchange.Names, g.log)
+	g.leases = residency.NewLeases(g.deps.Objects, g.settings.Name, uuid.NewString(), gap, g.exchange, g.log)
+	g.leases.Zone(g.settings.Zone)
 	g.keeper = residency.NewKeeper(residency.KeeperConfig{
-		Holding: g.holding, Operator: g.deps.Operator, Fleet: g.fleet, Catalog: g.catalog, Demand: g.demand,
+		Leases: g.leases, ZonesHeard: g.exchange.ZonesHeard, Operator: g.deps.Operator, Fleet: g.fleet, Catalog: g.catalog, Demand: g.demand,
 		View: g.view, Node: g.node, Log: g.log, Metrics: g.registry, Poke: g.exchange.Poke,
 		Work: func(id string) time.Duration { return g.board.Waiting(id, time.Now()) },
 	})
@@ -193,7 +194,7 @@
 	for _, loop := range []func(context.Context) error{
 		func(ctx context.Context) error { return g.node.Run(ctx, g.meshing) },
 		g.followed.config.Run, g.followed.targets.Run, g.followed.evacuations.Run,
-		g.exchange.Run, g.holding.Run, g.keeper.Run, g.introduce, g.housekeep,
+		g.exchange.Run, g.leases.Run, g.keeper.Run, g.introduce, g.housekeep,
 	} {
 		group.Go(func() error { return loop(groupCtx) })
 	}
@@ -237,7 +238,7 @@
 	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
-	g.holding.Release(ctx)
+	g.leases.Release(ctx)
 	pause(ctx, min(drainOpen, time.Until(ends)/2))
 	g.server.Close()
 	g.log.WithField("running", g.server.Running()).Info("gateway: No further calls are taken.")
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -24,8 +24,8 @@
 	s.Loads, s.Read = g.board.Drain(full, time.Now())
 	s.Spent = g.quota.Spent()
 	s.Demand = g.demand.Told()
-	s.Ended = g.holding.Ended()
-	if s.Held = g.holding.Told(); s.Held != nil {
+	s.Held, s.Ended = g.leases.Told()
+	if len(s.Held) > 0 {
 		s.Placed = g.keeper.Told(full)
 	}
 }
@@ -41,14 +41,9 @@
 			g.keeper.AdapterUsed(r.TargetID, r.Adapter)
 		}
 	}
-	if s.Ended != nil {
-		g.holding.HeardEnded(s.Ended)
-	}
-	if s.Held != nil {
-		g.holding.Heard(*s.Held)
-		for _, p := range s.Placed {
-			g.view.Apply(p)
-		}
+	g.leases.Heard(s.Held, s.Ended)
+	for _, p := range s.Placed {
+		g.view.Apply(p)
 	}
 	if state := g.catalog.Current(); state != nil && s.StateVersion > state.Version {
 		g.behind(from.Name)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -60,8 +60,8 @@
 	Read   []dispatch.PartsRead  `msgpack:"rd,omitempty"`
 	Spent  []allowance.Spending  `msgpack:"sp,omitempty"`
 	Demand []ModelDemand         `msgpack:"dm,omitempty"`
-	Held   *HeldLease            `msgpack:"hl,omitempty"`
-	Ended  *EndedLease           `msgpack:"el,omitempty"`
+	Held   []HeldLease           `msgpack:"hl,omitempty"`
+	Ended  []EndedLease          `msgpack:"el,omitempty"`
 	Placed []Placed              `msgpack:"pl,omitempty"`
 }
 
@@ -77,14 +77,16 @@
 
 // EndedLease is what a holder tells once it has lost the placement lease.
 type EndedLease struct {
+	Zone  string `msgpack:"z"`
 	Token uint64 `msgpack:"k"`
 	// OrderedAgoMS is the age of the last order to each target, in milliseconds.
 	// Targets that are not named got none lately.
 	OrderedAgoMS map[string]int64 `msgpack:"o"`
 }
 
-// HeldLease is the placement lease as its holder last wrote it.
+// HeldLease is the placement lease of a zone as its holder last wrote it.
 type HeldLease struct {
+	Zone    string       `msgpack:"z"`
 	Record  lease.Record `msgpack:"r"`
 	Version uint64       `msgpack:"v"`
 }
@@ -174,6 +176,35 @@
 // Names lists the instances that may be alive, self included, sorted.
 func (e *Exchange) Names() []string { return *e.names.Load() }
 
+// Candidates returns the place of this instance among those that may serve a
+// zone, 0 first, and whether it is of that zone: instances of the zone come
+// before all others.
+func (e *Exchange) Candidates(zone string) (place int, own bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	self := e.node.Self()
+	own = self.Zone == zone
+	for name, p := range e.known {
+		if p.Leaving {
+			continue
+		}
+		theirs := p.Zone == zone
+		if theirs && !own || theirs == own && name < self.Name {
+			place++
+		}
+	}
+	return place, own
+}
+
+// ZonesHeard lists the zones of which an instance is heard, the own included.
+func (e *Exchange) ZonesHeard() map[string]bool {
+	out := map[string]bool{e.node.Self().Zone: true}
+	for _, p := range e.Heard() {
+		out[p.Zone] = true
+	}
+	return out
+}
+
 // publishNames requires e.mu, or that e is not shared yet.
 func (e *Exchange) publishNames() {
 	out := []string{e.node.Self().Name}
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -19,6 +19,9 @@
 	// adapterIdle is how long an adapter must not have been asked for before it
 	// makes way for another.
 	adapterIdle = 2 * time.Second
+	// zoneTimeout bounds the question to the holder of one zone, so that another
+	// can still be asked.
+	zoneTimeout = 150 * time.Millisecond
 	// adapterTries is the number of targets that are tried for an adapter.
 	adapterTries = 3
 )
@@ -34,6 +37,7 @@
 // AdapterRequest asks the holder of the placement lease for an adapter.
 type AdapterRequest struct {
 	Service string `msgpack:"s"`
+	Zone    string `msgpack:"z"`
 	// Preferred is the target at which the caller of the adapter would be served
 	// first.
 	Preferred string `msgpack:"p"`
@@ -48,24 +52,53 @@
 }
 
 // EnsureAdapter has an adapter loaded, at the preferred target if it can take
-// it, and returns the target that holds it.
+// it, and returns the target that holds it. If the zone of the preferred target
+// has no holder or no place, another zone that holds the model is asked.
 func (k *Keeper) EnsureAdapter(ctx context.Context, service, preferred, model, adapter string) (string, error) {
 	request := &AdapterRequest{Service: service, Preferred: preferred, Model: model, Adapter: adapter}
-	var answer *AdapterAnswer
-	var err error
-	switch holder := k.holding.Holder(); holder {
+	err := error(merry.Wrap(ErrNoPlace))
+	for _, zone := range k.adapterZones(service, preferred, model) {
+		request.Zone = zone
+		var answer *AdapterAnswer
+		if answer, err = k.askZone(ctx, request); err == nil {
+			k.view.AdapterLoaded(answer.TargetID, answer.BornMS, model+"/"+adapter)
+			return answer.TargetID, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return "", err
+}
+
+// askZone asks the holder of a zone's lease.
+func (k *Keeper) askZone(ctx context.Context, request *AdapterRequest) (*AdapterAnswer, error) {
+	switch holder := k.leases.Zone(request.Zone).Holder(); holder {
 	case "":
-		return "", merry.Wrap(ErrNoHolder)
+		return nil, merry.Wrap(ErrNoHolder)
 	case k.node.Self().Name:
-		answer, err = k.place(ctx, request)
+		return k.place(ctx, request)
 	default:
-		answer, err = mesh.Call[AdapterRequest, AdapterAnswer](ctx, k.node, holder, methodAdapter, request)
+		ctx, cancel := context.WithTimeout(ctx, zoneTimeout)
+		defer cancel()
+		return mesh.Call[AdapterRequest, AdapterAnswer](ctx, k.node, holder, methodAdapter, request)
+	}
+}
+
+// adapterZones lists the zones of targets that hold the model, that of the
+// preferred one first.
+func (k *Keeper) adapterZones(service, preferred, model string) []string {
+	view := k.fleet.View()
+	var out []string
+	if t := view.Targets[preferred]; t != nil {
+		out = append(out, t.Zone)
 	}
-	if err != nil {
-		return "", err
+	for _, t := range view.ByService[service] {
+		if holds, _ := k.view.Holds(t, model, ""); holds && !slices.Contains(out, t.Zone) {
+			out = append(out, t.Zone)
+		}
 	}
-	k.view.AdapterLoaded(answer.TargetID, answer.BornMS, model+"/"+adapter)
-	return answer.TargetID, nil
+	return out
 }
 
 func (k *Keeper) adapterAsked(ctx context.Context, _ mesh.Peer, r *AdapterRequest) (*AdapterAnswer, error) {
@@ -74,7 +107,7 @@
 
 // place loads the adapter at the first target that takes it.
 func (k *Keeper) place(ctx context.Context, r *AdapterRequest) (*AdapterAnswer, error) {
-	if _, ok := k.holding.Held(); !ok {
+	if _, ok := k.leases.Zone(r.Zone).Held(); !ok {
 		return nil, merry.Wrap(ErrNoHolder)
 	}
 	state := k.catalog.Current()
@@ -107,12 +140,12 @@
 		rank time.Duration
 	}
 	var list []ranked
-	for _, m := range k.ofService(r.Service) {
+	for _, m := range k.ofService(r.Service, r.Zone) {
 		m.mu.Lock()
-		holds := usable[m.target.ID] && m.known && !m.busy && slices.Contains(m.models, r.Model) &&
+		holds := usable[m.id] && m.known && !m.busy && slices.Contains(m.models, r.Model) &&
 			(m.move == nil || m.move.Unload != r.Model)
 		_, has := m.adapters[r.Model+"/"+r.Adapter]
-		id := m.target.ID
+		id := m.id
 		m.mu.Unlock()
 		if !holds {
 			continue
@@ -139,7 +172,7 @@
 func (k *Keeper) placeAt(m *managed, r *AdapterRequest, engine *catalog.Engine) *AdapterAnswer {
 	m.mu.Lock()
 	name := r.Model + "/" + r.Adapter
-	answer := &AdapterAnswer{TargetID: m.target.ID, BornMS: m.target.BornMS}
+	answer := &AdapterAnswer{TargetID: m.id, BornMS: m.target.BornMS}
 	if _, has := m.adapters[name]; has {
 		m.adapters[name] = k.now()
 		m.mu.Unlock()
@@ -223,7 +256,7 @@
 		fits := m.target.Usable() && m.known && !m.busy && !has && m.move == nil &&
 			m.adapterCount() < engine.AdapterSlots-slotsKept && slices.Contains(m.models, model)
 		m.mu.Unlock()
-		if work := k.work(m.target.ID); fits && (best == nil || work < least) {
+		if work := k.work(m.id); fits && (best == nil || work < least) {
 			best, least = m, work
 		}
 	}
--- a/internal/residency/holder.go
+++ b/internal/residency/holder.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,18 +16,16 @@
 )
 
 const (
-	// leaseKey is the object of the placement lease.
-	leaseKey = "leases/placement"
+	// leasePrefix holds the placement lease of each availability zone.
+	leasePrefix = "leases/placement-"
 	// leaseDuration and renewEvery keep the gap after a lost holder short. Each
 	// renewal is one priced call.
-	leaseDuration = 2 * time.Second
-	renewEvery    = 700 * time.Millisecond
+	leaseDuration = 2500 * time.Millisecond
+	renewEvery    = time.Second
 	// readAgain is the time between reads of a lease that no peer tells of.
 	readAgain = time.Second
 	// writeAgain is the time between attempts to take the lease over.
 	writeAgain = 500 * time.Millisecond
-	// maxRank bounds the delay of candidates behind the first.
-	maxRank = 4
 	// orderMargin is the rest of a lease that an order needs: the order must
 	// arrive before the lease ends.
 	orderMargin = 300 * time.Millisecond
@@ -38,16 +35,18 @@
 	settleMargin = 200 * time.Millisecond
 )
 
-// Holding keeps the placement lease of one instance. What the holder tells over
+// Holding keeps the placement lease of one availability zone for one instance. What the holder tells over
 // the mesh stands for reads of the store: a takeover is a conditional write, so
 // that one based on old word fails. It is safe for concurrent use.
 type Holding struct {
 	objects platform.Objects
-	self    string
+	zone    string
 	session string
-	names   func() []string
-	log     log.Interface
-	now     func() time.Time
+	// rank is the instance's place among the candidates; the first takes the
+	// lease over without delay.
+	rank func() int
+	log  log.Interface
+	now  func() time.Time
 	// apart is the time that orders of two holders have to lie apart.
 	apart time.Duration
 
@@ -74,9 +73,10 @@
 
 // NewHolding returns a holding of nothing. Two holders' orders lie at least
 // apart from each other.
-func NewHolding(objects platform.Objects, self, session string, apart time.Duration, names func() []string, logger log.Interface) *Holding {
+func NewHolding(objects platform.Objects, zone, self, session string, apart time.Duration, rank func() int, logger log.Interface) *Holding {
 	return &Holding{
-		objects: objects, self: self, session: session, names: names, log: logger, now: boottime.Now, apart: apart,
+		objects: objects, zone: zone, session: session, rank: rank, now: boottime.Now, apart: apart,
+		log:     logger.WithField("zone", zone),
 		ordered: make(map[string]time.Time),
 		state:   lease.NewTimedState(self, session, lease.Timing{Duration: leaseDuration, RenewEvery: renewEvery}),
 	}
@@ -98,7 +98,7 @@
 		return nil
 	}
 	record, version := h.state.Newest()
-	return &peers.HeldLease{Record: record, Version: version}
+	return &peers.HeldLease{Zone: h.zone, Record: record, Version: version}
 }
 
 // Held reports whether the lease is held for long enough for an order, and its
@@ -146,7 +146,7 @@
 	if h.ownToken == 0 || h.held(now) && h.state.Token() == h.ownToken || h.endedAt.IsZero() || now.Sub(h.endedAt) > 2*h.apart {
 		return nil
 	}
-	out := &peers.EndedLease{Token: h.ownToken, OrderedAgoMS: make(map[string]int64)}
+	out := &peers.EndedLease{Zone: h.zone, Token: h.ownToken, OrderedAgoMS: make(map[string]int64)}
 	for id, at := range h.ordered {
 		if ago := now.Sub(at); ago < 2*h.apart {
 			out.OrderedAgoMS[id] = ago.Milliseconds()
@@ -177,28 +177,6 @@
 	return h.state.Holder()
 }
 
-// rank orders the candidates; the first takes the lease over without delay.
-func (h *Holding) rank() int {
-	return min(maxRank, max(0, slices.Index(h.names(), h.self)))
-}
-
-// tickInterval is the time between two looks at the lease.
-const tickInterval = 100 * time.Millisecond
-
-// Run keeps the lease until ctx ends.
-func (h *Holding) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		h.Tick(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-}
-
 // Tick reads or writes the lease if that is due.
 func (h *Holding) Tick(ctx context.Context) {
 	h.mu.Lock()
@@ -215,8 +193,8 @@
 	}
 	due := !held && (h.readAt.IsZero() || now.Sub(h.readAt) >= readAgain)
 	rank := h.rank()
-	if held {
-		// The holder keeps its lease, whatever its rank.
+	if held && rank < foreignRank {
+		// A holder in the zone keeps its lease, whatever its rank.
 		rank = 0
 	}
 	action := h.state.Next(now, rank)
@@ -240,7 +218,7 @@
 
 // read looks the lease up in the store.
 func (h *Holding) read(ctx context.Context) {
-	object, err := h.objects.Get(ctx, leaseKey)
+	object, err := h.objects.Get(ctx, leasePrefix+h.zone)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.readAt = h.now()
@@ -301,13 +279,13 @@
 
 // put writes the record and learns the outcome of a write without an answer.
 func (h *Holding) put(ctx context.Context, value []byte, version uint64, record lease.Record) (platform.Object, error) {
-	object, err := h.objects.Put(ctx, leaseKey, value, platform.Version(version))
+	object, err := h.objects.Put(ctx, leasePrefix+h.zone, value, platform.Version(version))
 	for errors.Is(err, platform.ErrOutcomeUnknown) && ctx.Err() == nil {
-		object, err = h.objects.Put(ctx, leaseKey, value, platform.Version(version))
+		object, err = h.objects.Put(ctx, leasePrefix+h.zone, value, platform.Version(version))
 		if !errors.Is(err, platform.ErrConflict) {
 			continue
 		}
-		stored, readErr := h.objects.Get(ctx, leaseKey)
+		stored, readErr := h.objects.Get(ctx, leasePrefix+h.zone)
 		if readErr != nil {
 			return object, readErr
 		}
--- a/internal/residency/keeper.go
+++ b/internal/residency/keeper.go
@@ -1,13 +1,16 @@
 package residency
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dotterellink/dotterellink/internal/call"
@@ -28,7 +31,7 @@
 	reportTimeout = 400 * time.Millisecond
 	// storeLoadBurst is the number of loads from the weight store that may begin
 	// at once, beyond its steady rate. The bound of the store allows three more.
-	storeLoadBurst = 2.0
+	storeLoadBurst = 2.5
 	// fastLoad is the expected time of a load from the target's own copies.
 	fastLoad = 800 * time.Millisecond
 )
@@ -36,9 +39,9 @@
 // Keeper carries placement out while this instance holds the lease. It is safe
 // for concurrent use.
 //
-// Lock order: managed.mu is taken without Keeper.mu held.
+// Lock order: managed.mu before Keeper.mu.
 type Keeper struct {
-	holding  *Holding
+	leases   *Leases
 	operator call.TargetOperator
 	fleet    *fleet.Table
 	catalog  *catalog.Holder
@@ -50,14 +53,17 @@
 	metrics  keeperMetrics
 	poke     func()
 	// work returns the load of a target, for choosing among equals.
-	work func(id string) time.Duration
+	work       func(id string) time.Duration
+	zonesHeard func() map[string]bool
 
 	mu      sync.Mutex
 	targets map[string]*managed
 	// loads is the number of loads from the weight store that may begin, by
 	// service.
-	loads map[string]*loadBudget
+	loads map[zoneService]*loadBudget
 	grown map[string]growth
+	// missing notes since when a model has had no copy.
+	missing map[zoneModel]absence
 	// adapterUse is when each adapter, MODEL/ADAPTER, was last used.
 	adapterUse map[string]time.Time
 }
@@ -71,7 +77,7 @@
 
 // KeeperConfig holds what a keeper is made of.
 type KeeperConfig struct {
-	Holding  *Holding
+	Leases   *Leases
 	Operator call.TargetOperator
 	Fleet    *fleet.Table
 	Catalog  *catalog.Holder
@@ -84,14 +90,16 @@
 	Poke func()
 	// Work returns the load of a target.
 	Work func(id string) time.Duration
+	// ZonesHeard returns the zones that are not cut off from this instance.
+	ZonesHeard func() map[string]bool
 }
 
 // NewKeeper returns a keeper and makes it answer peers that need an adapter.
 func NewKeeper(c KeeperConfig) *Keeper {
 	k := &Keeper{
-		holding: c.Holding, operator: c.Operator, fleet: c.Fleet, catalog: c.Catalog, demand: c.Demand, view: c.View,
+		leases: c.Leases, zonesHeard: c.ZonesHeard, operator: c.Operator, fleet: c.Fleet, catalog: c.Catalog, demand: c.Demand, view: c.View,
 		node: c.Node, log: c.Log, now: time.Now, poke: c.Poke, work: c.Work,
-		targets: make(map[string]*managed), loads: make(map[string]*loadBudget), grown: make(map[string]growth), adapterUse: make(map[string]time.Time),
+		targets: make(map[string]*managed), loads: make(map[zoneService]*loadBudget), missing: make(map[zoneModel]absence), grown: make(map[string]growth), adapterUse: make(map[string]time.Time),
 		metrics: keeperMetrics{
 			orders:  prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_orders_total", Help: "Orders sent to targets."}),
 			reports: prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_reports_total", Help: "Reports asked of targets."}),
@@ -108,11 +116,7 @@
 	ticker := time.NewTicker(keepInterval)
 	defer ticker.Stop()
 	for {
-		if _, ok := k.holding.Held(); ok {
-			k.keep()
-		} else {
-			k.rest()
-		}
+		k.keep(k.leases.HeldZones())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -121,51 +125,47 @@
 	}
 }
 
-// rest forgets what another holder may change.
-func (k *Keeper) rest() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if len(k.targets) > 0 {
-		k.targets = make(map[string]*managed)
-		k.loads = make(map[string]*loadBudget)
-	}
-}
-
-// keep looks at all targets of engine services once.
-func (k *Keeper) keep() {
+// keep looks at all targets of engine services in the zones once.
+func (k *Keeper) keep(zones []string) {
 	state := k.catalog.Current()
 	if state == nil {
 		return
 	}
 	view := k.fleet.View()
-	k.track(view, state)
+	for _, t := range view.Targets {
+		k.leases.Zone(t.Zone)
+	}
+	k.track(view, state, zones)
 	now := k.now()
 	for name, service := range state.Services {
 		if service.Engine == nil {
 			continue
 		}
-		list := k.ofService(name)
-		k.refresh(list, now)
-		k.planService(name, service.Engine, view, list, now)
-		k.advanceAll(list, service.Engine)
-		k.spreadAdapters(list, service.Engine, now)
+		for _, zone := range zones {
+			list := k.ofService(name, zone)
+			k.refresh(list, now)
+			k.planZone(zone, name, service.Engine, view, list, now)
+			k.advanceAll(list, service.Engine)
+			k.spreadAdapters(list, service.Engine, now)
+		}
 	}
 }
 
-// track follows the list of targets.
-func (k *Keeper) track(view *fleet.View, state *catalog.State) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+// track follows the list of targets in the zones. What it knew of others is
+// forgotten: another holder may change it.
+func (k *Keeper) track(view *fleet.View, state *catalog.State, zones []string) {
 	for id, t := range view.Targets {
 		service := state.Services[t.Service]
-		if service == nil || service.Engine == nil {
+		if service == nil || service.Engine == nil || !slices.Contains(zones, t.Zone) {
 			continue
 		}
+		k.mu.Lock()
 		m := k.targets[id]
 		if m == nil {
-			k.targets[id] = &managed{target: t, adapters: make(map[string]time.Time), changed: true}
-			continue
+			m = &managed{id: id, service: t.Service, zone: t.Zone, target: t, adapters: make(map[string]time.Time), changed: true}
+			k.targets[id] = m
 		}
+		k.mu.Unlock()
 		m.mu.Lock()
 		if m.target.BornMS != t.BornMS {
 			m.forget()
@@ -173,24 +173,32 @@
 		m.target = t
 		m.mu.Unlock()
 	}
-	for id := range k.targets {
-		if view.Targets[id] == nil {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id, m := range k.targets {
+		if view.Targets[id] == nil || !slices.Contains(zones, m.zone) {
 			delete(k.targets, id)
 		}
 	}
+	for key := range k.loads {
+		if !slices.Contains(zones, key.zone) {
+			delete(k.loads, key)
+		}
+	}
 }
 
-func (k *Keeper) ofService(service string) []*managed {
+// ofService lists the targets of a service in a zone, sorted.
+func (k *Keeper) ofService(service, zone string) []*managed {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var out []*managed
 	for _, m := range k.targets {
-		if m.target.Service == service {
+		if m.service == service && m.zone == zone {
 			out = append(out, m)
 		}
 	}
 	slices.SortFunc(out, func(a, b *managed) int {
-		if a.target.ID < b.target.ID {
+		if a.id < b.id {
 			return -1
 		}
 		return 1
@@ -236,22 +244,29 @@
 	m.observe(r, asked)
 }
 
-// planService makes moves for the targets of one service.
-func (k *Keeper) planService(service string, engine *catalog.Engine, view *fleet.View, list []*managed, now time.Time) {
-	s := Situation{Engine: engine, Coming: make(map[string]int), StoreLoads: k.loadsLeft(service, engine, now)}
+// planZone makes moves for the targets of one service in one zone.
+func (k *Keeper) planZone(zone, service string, engine *catalog.Engine, view *fleet.View, list []*managed, now time.Time) {
+	key := zoneService{zone, service}
+	s := Situation{Engine: engine, Coming: make(map[string]int), StoreLoads: k.loadsLeft(key, engine, view, now)}
 	s.Demand, s.Wanted = k.demand.Rates(service, now)
-	s.Settled = k.settled(service, list, now)
+	s.Settled = k.settled(service, len(view.ByService[service]), now)
+	k.lookElsewhere(&s, zone, service, view, now)
 	byID := make(map[string]*managed, len(list))
 	for _, m := range list {
-		byID[m.target.ID] = m
+		byID[m.id] = m
 		m.mu.Lock()
 		if m.finished(now) {
 			k.logMove(m, now)
 			m.move, m.changed = nil, true
 		}
-		s.Slots = append(s.Slots, k.slot(m, view, now))
+		slot := k.slot(m, view, now)
+		slot.Free = slot.Free && k.mayOrder(m)
+		s.Slots = append(s.Slots, slot)
 		if m.move != nil && !slices.Contains(m.models, m.move.Load) {
 			s.Coming[m.move.Load]++
+			if m.move.FromStore && m.move.loadFrom.IsZero() {
+				s.StoreLoads--
+			}
 		}
 		m.mu.Unlock()
 	}
@@ -260,6 +275,69 @@
 	}
 }
 
+// lookElsewhere adds the copies in other zones that are not cut off.
+func (k *Keeper) lookElsewhere(s *Situation, zone, service string, view *fleet.View, now time.Time) {
+	heard := k.zonesHeard()
+	s.Elsewhere = make(map[string]int)
+	holders := make(map[string][]string)
+	zones := map[string]bool{zone: true}
+	for _, t := range view.ByService[service] {
+		if t.Zone != zone && !heard[t.Zone] {
+			continue
+		}
+		zones[t.Zone] = true
+		for _, model := range k.view.Models(t) {
+			holders[model] = append(holders[model], t.Zone)
+			if t.Zone != zone {
+				s.Elsewhere[model]++
+			}
+		}
+	}
+	s.MayDrop = func(model string) bool { return firstZone(model, holders[model]) != zone }
+	all := slices.Sorted(maps.Keys(zones))
+	s.Restore = func(model string) bool { return k.restores(zoneModel{zone, service, model}, all, now) }
+}
+
+// firstZone returns the zone that keeps its copy of a model: all zones that see
+// the same copies agree on it.
+func firstZone(model string, zones []string) string {
+	best, most := "", uint64(0)
+	for _, zone := range zones {
+		if r := xxhash.Sum64String(model + "\x00" + zone); best == "" || r > most {
+			best, most = zone, r
+		}
+	}
+	return best
+}
+
+// restoreDelay is the time that each further zone waits before it restores a
+// model that has no copy: the first may be unable to.
+const restoreDelay = 1500 * time.Millisecond
+
+// restores reports whether a model without a copy is placed in the zone now.
+func (k *Keeper) restores(key zoneModel, zones []string, now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	seen := k.missing[key]
+	if now.Sub(seen.last) > restoreDelay {
+		seen.since = now
+	}
+	seen.last = now
+	k.missing[key] = seen
+	order := slices.Clone(zones)
+	slices.SortFunc(order, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(key.model+"\x00"+b), xxhash.Sum64String(key.model+"\x00"+a))
+	})
+	return now.Sub(seen.since) >= time.Duration(slices.Index(order, key.zone))*restoreDelay
+}
+
+// zoneService, zoneModel and absence are keys and values of what a keeper notes.
+type (
+	zoneService struct{ zone, service string }
+	zoneModel   struct{ zone, service, model string }
+	absence     struct{ since, last time.Time }
+)
+
 // settleTime is how long the list of targets must not have grown before models
 // without a copy are restored for their own sake: targets announce themselves one
 // after the other.
@@ -267,14 +345,14 @@
 
 // settled reports whether the targets are known well enough to tell that a model
 // has no copy.
-func (k *Keeper) settled(service string, list []*managed, now time.Time) bool {
+func (k *Keeper) settled(service string, count int, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	seen := k.grown[service]
-	if len(list) > seen.count {
+	if count > seen.count {
 		seen.at = now
 	}
-	seen.count = len(list)
+	seen.count = count
 	k.grown[service] = seen
 	return now.Sub(seen.at) >= settleTime
 }
@@ -297,54 +375,69 @@
 		held = slices.DeleteFunc(held, func(name string) bool { return name == m.move.Unload })
 	}
 	return Slot{
-		TargetID: m.target.ID, Zone: m.target.Zone, Held: held, AtHand: m.atHand,
+		TargetID: m.id, Zone: m.target.Zone, Held: held, AtHand: m.atHand,
 		Free:    m.fresh(now) && m.move == nil,
 		Leaving: !m.target.Usable() || view.Evacuated[m.target.Zone],
-		Work:    k.work(m.target.ID),
+		Work:    k.work(m.id),
 	}
 }
 
-// loadsLeft returns the number of loads from the weight store that may begin.
-func (k *Keeper) loadsLeft(service string, engine *catalog.Engine, now time.Time) int {
+// loadsLeft returns the number of loads from the weight store that may begin in a
+// zone. The rate of the store is divided among the zones that have targets.
+func (k *Keeper) loadsLeft(key zoneService, engine *catalog.Engine, view *fleet.View, now time.Time) int {
+	zones := make(map[string]bool)
+	for _, t := range view.Targets {
+		if t.Service == key.service {
+			zones[t.Zone] = true
+		}
+	}
+	parts := float64(max(1, len(zones)))
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	b := k.loads[service]
+	b := k.loads[key]
 	if b == nil {
 		// Loads of the holder before are not known: the first one waits.
 		b = &loadBudget{at: now}
-		k.loads[service] = b
+		k.loads[key] = b
 	}
-	b.left = math.Min(storeLoadBurst, b.left+now.Sub(b.at).Seconds()*engine.LoadsPerSecond)
-	b.at = now
 	if engine.LoadsPerSecond <= 0 {
 		return len(k.targets)
 	}
+	b.left = math.Min(max(1, storeLoadBurst/parts), b.left+now.Sub(b.at).Seconds()*engine.LoadsPerSecond/parts)
+	b.at = now
 	return int(b.left)
 }
 
+// takeLoad takes one load from the budget at the time of its order: between the
+// plan and the order there may be an unload, or the wait after a takeover.
+func (k *Keeper) takeLoad(key zoneService, engine *catalog.Engine, now time.Time) bool {
+	if k.loadsLeft(key, engine, k.fleet.View(), now) < 1 {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.loads[key].left--
+	return true
+}
+
 func (k *Keeper) begin(m *managed, step Step, engine *catalog.Engine, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.move = &move{Step: step, startedAt: now, eta: fastLoad}
 	if step.FromStore {
 		m.move.eta = engine.Models[step.Load].LoadTime
-		k.mu.Lock()
-		if b := k.loads[m.target.Service]; b != nil {
-			b.left--
-		}
-		k.mu.Unlock()
 	}
 	m.changed = true
 	k.poke()
 	k.log.WithFields(log.Fields{
-		"target": m.target.ID, "load": step.Load, "unload": step.Unload, "from_store": step.FromStore, "orders": m.orders,
+		"target": m.id, "load": step.Load, "unload": step.Unload, "from_store": step.FromStore, "orders": m.orders,
 	}).Info("residency: Move begins.")
 }
 
 // logMove requires m.mu.
 func (k *Keeper) logMove(m *managed, now time.Time) {
 	k.log.WithFields(log.Fields{
-		"target": m.target.ID, "load": m.move.Load, "unload": m.move.Unload,
+		"target": m.id, "load": m.move.Load, "unload": m.move.Unload,
 		"held": slices.Contains(m.models, m.move.Load), "after_ms": now.Sub(m.move.startedAt).Milliseconds(),
 	}).Info("residency: Move ended.")
 }
@@ -369,7 +462,10 @@
 	defer m.mu.Unlock()
 	now := k.now()
 	o, ok := m.due(now)
-	if !ok || o.Kind == call.LoadModel && !k.fits(m, o.Model, engine) {
+	if !ok || !k.mayOrder(m) || o.Kind == call.LoadModel && !k.fits(m, o.Model, engine) {
+		return
+	}
+	if o.Kind == call.LoadModel && !slices.Contains(m.atHand, o.Model) && !k.takeLoad(zoneService{m.zone, m.service}, engine, now) {
 		return
 	}
 	m.sentAt = now
@@ -378,6 +474,12 @@
 	}
 }
 
+// mayOrder requires m.mu.
+func (k *Keeper) mayOrder(m *managed) bool {
+	_, ok := k.leases.Zone(m.zone).MayOrder(m.id)
+	return ok
+}
+
 // fits requires m.mu. It checks the memory of the target once more before a
 // load: too much of it ends the target.
 func (k *Keeper) fits(m *managed, model string, engine *catalog.Engine) bool {
@@ -388,16 +490,16 @@
 
 // order requires m.mu. It gives one order if the lease is held.
 func (k *Keeper) order(m *managed, o call.Order) call.OrderResult {
-	token, ok := k.holding.MayOrder(m.target.ID)
+	token, ok := k.leases.Zone(m.zone).MayOrder(m.id)
 	if !ok {
 		return call.OrderRefused
 	}
 	o.Holder, o.Fence = k.node.Self().Name, token
 	k.metrics.orders.Inc()
-	k.holding.Ordered(m.target.ID)
+	k.leases.Zone(m.zone).Ordered(m.id)
 	result, err := k.operator.Order(m.target.Address, m.target.ID, o, orderTimeout)
 	fields := log.Fields{
-		"target": m.target.ID, "kind": int(o.Kind), "model": o.Model, "adapter": o.Adapter,
+		"target": m.id, "kind": int(o.Kind), "model": o.Model, "adapter": o.Adapter,
 		"expected": o.ExpectedOrders, "token": token, "result": int(result),
 	}
 	if err != nil {
@@ -448,7 +550,7 @@
 
 // told requires m.mu.
 func (m *managed) told(now time.Time) peers.Placed {
-	p := peers.Placed{TargetID: m.target.ID, BornMS: m.target.BornMS}
+	p := peers.Placed{TargetID: m.id, BornMS: m.target.BornMS}
 	for name := range m.adapters {
 		p.Adapters = append(p.Adapters, name)
 	}
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -47,6 +47,15 @@
 	Slots  []Slot
 	// Coming counts copies under way by model.
 	Coming map[string]int
+	// Elsewhere counts the copies at targets that others place, and that callers
+	// of this zone reach.
+	Elsewhere map[string]int
+	// MayDrop reports whether the last copy in these slots may make way while
+	// there are others elsewhere. Of two zones with one copy each, one may not.
+	MayDrop func(model string) bool
+	// Restore reports whether a model without a copy is placed here; nil means
+	// that all are.
+	Restore func(model string) bool
 	// Demand is the work for each model, in engines: 1 keeps one engine busy.
 	Demand map[string]float64
 	// Wanted are models for which calls found no target.
@@ -73,7 +82,7 @@
 func Plan(s Situation) []Step {
 	p := newPlanning(s)
 	for _, model := range p.missing() {
-		if s.Settled || s.Wanted[model] {
+		if (s.Settled || s.Wanted[model]) && (s.Restore == nil || s.Restore(model)) {
 			p.place(model, 0)
 		}
 	}
@@ -90,16 +99,20 @@
 type planning struct {
 	Situation
 	copies  map[string]int
+	own     map[string]int
 	used    map[string]bool
-	given   map[string]bool
 	steps   []Step
 	skipped map[string]bool
 }
 
 func newPlanning(s Situation) *planning {
-	p := &planning{Situation: s, copies: make(map[string]int), used: make(map[string]bool), given: make(map[string]bool), skipped: make(map[string]bool)}
+	p := &planning{Situation: s, copies: make(map[string]int), own: make(map[string]int), used: make(map[string]bool), skipped: make(map[string]bool)}
 	for model, n := range s.Coming {
 		p.copies[model] += n
+		p.own[model] += n
+	}
+	for model, n := range s.Elsewhere {
+		p.copies[model] += n
 	}
 	for _, slot := range s.Slots {
 		if slot.Leaving {
@@ -107,6 +120,7 @@
 		}
 		for _, model := range slot.Held {
 			p.copies[model]++
+			p.own[model]++
 		}
 	}
 	return p
@@ -205,8 +219,10 @@
 	}
 	if o.unload != "" {
 		p.copies[o.unload]--
+		p.own[o.unload]--
 	}
 	p.copies[model]++
+	p.own[model]++
 	p.used[o.slot.TargetID] = true
 	p.steps = append(p.steps, Step{TargetID: o.slot.TargetID, Unload: o.unload, Load: model, FromStore: !o.atHand})
 }
@@ -220,7 +236,7 @@
 	}
 	o.cost = math.Inf(1)
 	for _, held := range slot.Held {
-		if p.copies[held] < 2 || p.room(slot, held) < p.Engine.Models[model].WeightsMB {
+		if !p.droppable(held) || p.room(slot, held) < p.Engine.Models[model].WeightsMB {
 			continue
 		}
 		cost, spare := p.loadOf(held, p.copies[held]-1), p.copies[held]
@@ -231,6 +247,14 @@
 	return o, o.unload != ""
 }
 
+// droppable reports whether a copy of the model may make way.
+func (p *planning) droppable(model string) bool {
+	if p.copies[model] < 2 {
+		return false
+	}
+	return p.own[model] > 1 || p.MayDrop != nil && p.MayDrop(model)
+}
+
 // room returns the memory left on the target, without the model that makes way,
 // in megabytes. Places for adapters are kept free.
 func (p *planning) room(slot Slot, without string) float64 {
--- a/internal/residency/target.go
+++ b/internal/residency/target.go
@@ -32,7 +32,11 @@
 // numbered by the target; each order names the number it was decided at, so that
 // of two orders decided on the same state at most one takes effect.
 type managed struct {
-	// mu serialises orders and guards all fields.
+	id      string
+	service string
+	zone    string
+
+	// mu serialises orders and guards the fields below.
 	mu sync.Mutex
 
 	target *fleet.Target
--- a/internal/residency/view.go
+++ b/internal/residency/view.go
@@ -92,6 +92,30 @@
 	return false
 }
 
+// Models lists the models that a target holds or is being given.
+func (v *View) Models(t *fleet.Target) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p := v.targets[t.ID]
+	if p != nil && p.bornMS != t.BornMS {
+		p = nil
+	}
+	var out []string
+	for _, m := range t.Models {
+		if p == nil || !slices.Contains(p.leaving, m.Name) {
+			out = append(out, m.Name)
+		}
+	}
+	if p != nil {
+		for model := range p.coming {
+			if !slices.Contains(out, model) {
+				out = append(out, model)
+			}
+		}
+	}
+	return out
+}
+
 // Lost notes that a target turned out not to hold an adapter.
 func (v *View) Lost(targetID, adapter string) {
 	v.mu.Lock()
