A lease outlasts a cut zone; a restarted holder resumes; cut zones are avoided

Change: leases last 7 s; a new run on the holder's machine resumes at once; targets of a zone of which nothing is heard get a penalty.

--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -10,6 +10,9 @@
 	// crossZoneCost is what a call to another zone has to gain: two crossings
 	// and the price of its bytes.
 	crossZoneCost = 8 * time.Millisecond
+	// cutZoneCost speaks against targets of a zone of which nothing is heard: a
+	// call there is likely to be lost.
+	cutZoneCost = 400 * time.Millisecond
 	// failureCost is the expected time lost by one failure: a caller's retry
 	// waits and starts from the beginning.
 	failureCost = 2 * time.Second
@@ -39,6 +42,8 @@
 	// Limited is set if the target must not get a call now, as its cold start
 	// allows none.
 	Limited bool
+	// ZoneCut is set if no instance of the target's zone is heard.
+	ZoneCut bool
 	// NewConnection is set if no idle connection is there.
 	NewConnection bool
 }
@@ -117,6 +122,9 @@
 	if c.Target.Zone != q.Zone {
 		p.Score += crossZoneCost
 	}
+	if c.ZoneCut {
+		p.Score += cutZoneCost
+	}
 	if c.NewConnection {
 		p.Score += newConnectionCost
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -364,6 +364,7 @@
 	for pause(ctx, housekeeping) {
 		now := time.Now()
 		g.client.CloseIdle()
+		g.exchange.LookForCuts()
 		g.fleet.Expire(now)
 		view := g.fleet.View()
 		g.demand.Fold(now)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -73,6 +73,8 @@
 	mine      bool
 	sentAt    time.Time
 	outranked time.Time
+	// resumed is set if the lease was taken over from an earlier run.
+	resumed bool
 	// freeSince is when the previous holder's lease had certainly ended.
 	freeSince time.Time
 }
@@ -84,7 +86,12 @@
 }
 
 // Timing says how long a lease lasts and how often it is renewed.
-type Timing struct{ Duration, RenewEvery time.Duration }
+type Timing struct {
+	Duration, RenewEvery time.Duration
+	// HolderResumes lets a new run of the recorded holder take the lease over at
+	// once: for holders of which a new run proves that the one before has ended.
+	HolderResumes bool
+}
 
 // NewTimedState returns the state of a lease with a timing of its own.
 func NewTimedState(holder, session string, timing Timing) *State {
@@ -135,12 +142,17 @@
 // endsBy returns the earliest time at which the recorded holder, even one that
 // was paused, has certainly stopped relying on the lease.
 func (s *State) endsBy() time.Time {
-	if s.record.Session == "" {
+	if s.record.Session == "" || s.resumes() {
 		return s.seenAt
 	}
 	return s.seenAt.Add(s.record.duration() + DriftMargin)
 }
 
+// resumes reports whether the recorded holder is an earlier run of this one.
+func (s *State) resumes() bool {
+	return s.timing.HolderResumes && s.record.Holder == s.holder && s.record.Session != s.session
+}
+
 // Proposed returns the record to write for an action and the version on which
 // the write is conditional.
 func (s *State) Proposed(a Action) (Record, uint64) {
@@ -158,6 +170,7 @@
 // sent at sentAt and known at now.
 func (s *State) Wrote(a Action, r Record, version uint64, sentAt, now time.Time) {
 	if a == Acquire {
+		s.resumed = s.resumes()
 		s.freeSince = s.endsBy()
 		s.outranked = time.Time{}
 	}
@@ -180,6 +193,10 @@
 // FreeSince returns when the previous holder's lease had certainly ended.
 func (s *State) FreeSince() time.Time { return s.freeSince }
 
+// Resumed reports whether the lease was taken over from an earlier run of the
+// same holder.
+func (s *State) Resumed() bool { return s.resumed }
+
 // Newest returns the newest record known and its version.
 func (s *State) Newest() (Record, uint64) { return s.record, s.version }
 
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -93,7 +93,7 @@
 		if !holds {
 			continue
 		}
-		c := dispatch.Candidate{Target: t, NeedsAdapter: !adapter}
+		c := dispatch.Candidate{Target: t, NeedsAdapter: !adapter, ZoneCut: f.Members.ZoneCut(t.Zone)}
 		c.NewConnection = !f.Upstream.HasIdle(t.ID, t.Address)
 		c.Limited = service.MaxConnections > 0 && c.NewConnection && f.Upstream.Open(t.ID, t.Address) >= maxOpen
 		if f.isCold(t, service, now) {
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -61,6 +61,8 @@
 	Self() string
 	// Names lists all instances that may be alive, self included, sorted.
 	Names() []string
+	// ZoneCut reports whether a zone has instances and none of them is heard.
+	ZoneCut(zone string) bool
 }
 
 // Dependencies of a server.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -147,6 +147,7 @@
 	mu    sync.Mutex
 	known map[string]*Peer
 	names atomic.Pointer[[]string]
+	cut   atomic.Pointer[map[string]bool]
 	// sending holds the newest statuses that wait for a slow peer.
 	sending map[string]chan message
 	// ended closes when the exchange stops.
@@ -205,6 +206,27 @@
 	return out
 }
 
+// ZoneCut reports whether a zone has instances and none of them is heard, as of
+// the last look.
+func (e *Exchange) ZoneCut(zone string) bool {
+	cut := e.cut.Load()
+	return cut != nil && (*cut)[zone]
+}
+
+// LookForCuts brings ZoneCut up to date.
+func (e *Exchange) LookForCuts() {
+	heard := e.ZonesHeard()
+	cut := make(map[string]bool)
+	e.mu.Lock()
+	for _, p := range e.known {
+		if !heard[p.Zone] {
+			cut[p.Zone] = true
+		}
+	}
+	e.mu.Unlock()
+	e.cut.Store(&cut)
+}
+
 // publishNames requires e.mu, or that e is not shared yet.
 func (e *Exchange) publishNames() {
 	out := []string{e.node.Self().Name}
--- a/internal/residency/holder.go
+++ b/internal/residency/holder.go
@@ -18,10 +18,11 @@
 const (
 	// leasePrefix holds the placement lease of each availability zone.
 	leasePrefix = "leases/placement-"
-	// leaseDuration and renewEvery keep the gap after a lost holder short. Each
-	// renewal is one priced call.
-	leaseDuration = 2500 * time.Millisecond
-	renewEvery    = time.Second
+	// leaseDuration outlasts most cuts of a zone from the store, so that its holder
+	// goes on placing models there. A process that restarts on the machine of the
+	// holder resumes at once. Each renewal is one priced call.
+	leaseDuration = 7 * time.Second
+	renewEvery    = 1200 * time.Millisecond
 	// readAgain is the time between reads of a lease that no peer tells of.
 	readAgain = time.Second
 	// writeAgain is the time between attempts to take the lease over.
@@ -78,7 +79,9 @@
 		objects: objects, zone: zone, session: session, rank: rank, now: boottime.Now, apart: apart,
 		log:     logger.WithField("zone", zone),
 		ordered: make(map[string]time.Time),
-		state:   lease.NewTimedState(self, session, lease.Timing{Duration: leaseDuration, RenewEvery: renewEvery}),
+		state: lease.NewTimedState(self, session, lease.Timing{
+			Duration: leaseDuration, RenewEvery: renewEvery, HolderResumes: true,
+		}),
 	}
 }
 
@@ -268,7 +271,8 @@
 	h.state.Wrote(action, record, uint64(object.Version), sentAt, now)
 	if action == lease.Acquire {
 		h.orderableAt = now
-		if record.Token > 1 {
+		// Orders of an earlier run came from the same machine: they need no gap.
+		if record.Token > 1 && !h.state.Resumed() {
 			h.orderableAt = h.state.FreeSince().Add(h.apart + settleMargin)
 		}
 		h.wasHeld, h.endedAt = true, time.Time{}
