Places at cold targets are taken when the call is sent; short orders for adapters

Change: check and count in one step; orders for adapters wait 120 ms; adapters are spread only where places are plenty.

--- a/internal/allowance/window.go
+++ b/internal/allowance/window.go
@@ -151,9 +151,9 @@
 	return part > 0 && (w == nil || w.count(now) < part)
 }
 
-// Sent counts a call. Calls to warm targets are counted too, since a target may
-// turn out to be cold.
-func (c *Cold) Sent(target string, now time.Time) {
+// Take counts a call if there is room for it. A negative part means that the
+// target is warm: its calls are counted too, since it may turn out to be cold.
+func (c *Cold) Take(target string, part int, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.targets[target]
@@ -161,7 +161,11 @@
 		w = &window{span: coldWindow}
 		c.targets[target] = w
 	}
+	if part >= 0 && w.count(now) >= part {
+		return false
+	}
 	w.add(now)
+	return true
 }
 
 // NextRoom returns the time until a call may be sent.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/dotterellink/dotterellink/internal/dispatch"
 	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/follow"
 	"github.com/dotterellink/dotterellink/internal/mesh"
@@ -22,6 +23,7 @@
 	}
 	s.StoreLost = g.followed.storeIsLost()
 	s.Loads, s.Read = g.board.Drain(full, time.Now())
+	g.noteAdapters(s.Read)
 	s.Spent = g.quota.Spent()
 	s.Demand = g.demand.Told()
 	s.Held, s.Ended = g.leases.Told()
@@ -36,11 +38,7 @@
 	g.board.PeerLoads(from.Name, s.Loads, s.Read, now)
 	g.quota.PeerSpent(s.Run, s.Spent, now)
 	g.demand.Heard(s.Run, s.Demand, now)
-	for _, r := range s.Read {
-		if r.Adapter != "" {
-			g.keeper.AdapterUsed(r.TargetID, r.Adapter)
-		}
-	}
+	g.noteAdapters(s.Read)
 	g.leases.Heard(s.Held, s.Ended)
 	for _, p := range s.Placed {
 		g.view.Apply(p)
@@ -53,6 +51,15 @@
 	}
 }
 
+// noteAdapters tells the keeper which adapters calls use.
+func (g *Gateway) noteAdapters(read []dispatch.PartsRead) {
+	for _, r := range read {
+		if r.Adapter != "" {
+			g.keeper.AdapterUsed(r.TargetID, r.Adapter)
+		}
+	}
+}
+
 // methodWord carries what the instance of a zone that watches the store learns.
 const methodWord = "gateway.word"
 
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -68,7 +68,6 @@
 	now := f.Now()
 	f.sends++
 	f.excluded[pick.Target.ID] = true
-	f.Cold.Sent(pick.Target.ID, now)
 	ticket := f.Board.Begin(pick, f.work, now)
 	f.logSend(pick, now)
 	deadline, _ := ctx.Deadline()
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -21,8 +21,36 @@
 	restartSuspicion = time.Second
 )
 
-// pick returns the target for the next attempt. Without one it answers the call.
+// maxPicks bounds the decisions for one attempt: another call may take the last
+// place at a cold target between a decision and its send.
+const maxPicks = 3
+
+// pick returns the target for the next attempt and takes a place there. Without
+// one it answers the call.
 func (f *flight) pick(ctx context.Context) (dispatch.Pick, bool) {
+	for range maxPicks {
+		pick, ok := f.decide(ctx)
+		if !ok || f.takePlace(pick) {
+			return pick, ok
+		}
+	}
+	f.giveUp("no_target_free", noTargetRetry)
+	return dispatch.Pick{}, false
+}
+
+// takePlace takes a place at the target if it may be cold.
+func (f *flight) takePlace(pick dispatch.Pick) bool {
+	now := f.Now()
+	service := f.state.Services[f.service]
+	part := -1
+	if f.isCold(pick.Target, service, now) {
+		part = f.Cold.Part(pick.Target.ID, service.ColdRate, f.Members.Self(), f.Members.Names())
+	}
+	return f.Cold.Take(pick.Target.ID, part, now)
+}
+
+// decide picks a target. Without one it answers the call.
+func (f *flight) decide(ctx context.Context) (dispatch.Pick, bool) {
 	service := f.state.Services[f.service]
 	if service == nil {
 		f.giveUp("no_service", noTargetRetry)
@@ -144,7 +172,7 @@
 }
 
 // adapterWait bounds the wait for an adapter that is being loaded.
-const adapterWait = 400 * time.Millisecond
+const adapterWait = 800 * time.Millisecond
 
 // withAdapter has the adapter loaded and picks the target that holds it.
 func (f *flight) withAdapter(ctx context.Context, pick dispatch.Pick, service *catalog.Service) (dispatch.Pick, bool) {
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -17,11 +17,11 @@
 	// adapterSettle is the time that an adapter's load takes, as a rule.
 	adapterSettle = 15 * time.Millisecond
 	// adapterIdle is how long an adapter must not have been asked for before it
-	// makes way for another.
-	adapterIdle = 2 * time.Second
+	// makes way for another: calls that use it run for a second or two.
+	adapterIdle = 1500 * time.Millisecond
 	// zoneTimeout bounds the question to the holder of one zone, so that another
 	// can still be asked.
-	zoneTimeout = 150 * time.Millisecond
+	zoneTimeout = 350 * time.Millisecond
 	// adapterTries is the number of targets that are tried for an adapter.
 	adapterTries = 3
 )
@@ -218,23 +218,49 @@
 	slotsKept = 1
 )
 
+// adapterModels lists the models whose adapters are in use.
+func (k *Keeper) adapterModels(now time.Time) map[string]bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make(map[string]bool)
+	for name, at := range k.adapterUse {
+		if now.Sub(at) <= adapterSpread {
+			model, _ := cutAdapter(name)
+			out[model] = true
+		}
+	}
+	return out
+}
+
 // spreadAdapters loads adapters in use at further targets with room.
 func (k *Keeper) spreadAdapters(list []*managed, engine *catalog.Engine, now time.Time) {
 	copies := make(map[string]int)
+	// room counts the places for adapters at targets that hold a model, used the
+	// adapters of it that are in use.
+	room, used := make(map[string]int), make(map[string]int)
 	for _, m := range list {
 		m.mu.Lock()
 		for name := range m.adapters {
 			copies[name]++
 		}
+		for _, model := range m.models {
+			room[model] += engine.AdapterSlots
+		}
 		m.mu.Unlock()
 	}
 	k.mu.Lock()
 	var wanted []string
-	for name, used := range k.adapterUse {
-		switch {
-		case now.Sub(used) > adapterSpread:
+	for name, at := range k.adapterUse {
+		if now.Sub(at) > adapterSpread {
 			delete(k.adapterUse, name)
-		case copies[name] > 0 && copies[name] < adapterCopies:
+			continue
+		}
+		model, _ := cutAdapter(name)
+		used[model]++
+	}
+	for name := range k.adapterUse {
+		model, _ := cutAdapter(name)
+		if n := copies[name]; n > 0 && n < min(adapterCopies, room[model]/max(1, used[model])) {
 			wanted = append(wanted, name)
 		}
 	}
--- a/internal/residency/keeper.go
+++ b/internal/residency/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -64,6 +65,8 @@
 	grown map[string]growth
 	// missing notes since when a model has had no copy.
 	missing map[zoneModel]absence
+	// loggedAt is when the demand of a zone was last logged.
+	loggedAt map[zoneService]time.Time
 	// adapterUse is when each adapter, MODEL/ADAPTER, was last used.
 	adapterUse map[string]time.Time
 }
@@ -99,7 +102,7 @@
 	k := &Keeper{
 		leases: c.Leases, zonesHeard: c.ZonesHeard, operator: c.Operator, fleet: c.Fleet, catalog: c.Catalog, demand: c.Demand, view: c.View,
 		node: c.Node, log: c.Log, now: time.Now, poke: c.Poke, work: c.Work,
-		targets: make(map[string]*managed), loads: make(map[zoneService]*loadBudget), missing: make(map[zoneModel]absence), grown: make(map[string]growth), adapterUse: make(map[string]time.Time),
+		targets: make(map[string]*managed), loads: make(map[zoneService]*loadBudget), missing: make(map[zoneModel]absence), loggedAt: make(map[zoneService]time.Time), grown: make(map[string]growth), adapterUse: make(map[string]time.Time),
 		metrics: keeperMetrics{
 			orders:  prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_orders_total", Help: "Orders sent to targets."}),
 			reports: prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_reports_total", Help: "Reports asked of targets."}),
@@ -251,6 +254,7 @@
 	s.Demand, s.Wanted = k.demand.Rates(service, now)
 	s.Settled = k.settled(service, len(view.ByService[service]), now)
 	k.lookElsewhere(&s, zone, service, view, now)
+	s.AdapterModels = k.adapterModels(now)
 	byID := make(map[string]*managed, len(list))
 	for _, m := range list {
 		byID[m.id] = m
@@ -270,11 +274,42 @@
 		}
 		m.mu.Unlock()
 	}
+	k.logDemand(key, s, now)
 	for _, step := range Plan(s) {
 		k.begin(byID[step.TargetID], step, engine, now)
 	}
 }
 
+// demandLogEvery is the time between log lines on the demand of a zone.
+const demandLogEvery = 2 * time.Second
+
+// logDemand logs what the planner of a zone decides on.
+func (k *Keeper) logDemand(key zoneService, s Situation, now time.Time) {
+	k.mu.Lock()
+	due := now.Sub(k.loggedAt[key]) >= demandLogEvery
+	if due {
+		k.loggedAt[key] = now
+	}
+	k.mu.Unlock()
+	if !due {
+		return
+	}
+	copies := newPlanning(s).copies
+	free := 0
+	for _, slot := range s.Slots {
+		if slot.Free && !slot.Leaving {
+			free++
+		}
+	}
+	fields := log.Fields{"zone": key.zone, "store_loads": s.StoreLoads, "targets": len(s.Slots), "free": free}
+	for model, work := range s.Demand {
+		if work >= minLoad {
+			fields[model] = fmt.Sprintf("%.2f/%d", work, copies[model])
+		}
+	}
+	k.log.WithFields(fields).Info("residency: Demand in engines by copies.")
+}
+
 // lookElsewhere adds the copies in other zones that are not cut off.
 func (k *Keeper) lookElsewhere(s *Situation, zone, service string, view *fleet.View, now time.Time) {
 	heard := k.zonesHeard()
@@ -376,6 +411,7 @@
 	}
 	return Slot{
 		TargetID: m.id, Zone: m.target.Zone, Held: held, AtHand: m.atHand,
+		Busy:    m.busy || m.move != nil,
 		Free:    m.fresh(now) && m.move == nil,
 		Leaving: !m.target.Usable() || view.Evacuated[m.target.Zone],
 		Work:    k.work(m.id),
@@ -497,7 +533,11 @@
 	o.Holder, o.Fence = k.node.Self().Name, token
 	k.metrics.orders.Inc()
 	k.leases.Zone(m.zone).Ordered(m.id)
-	result, err := k.operator.Order(m.target.Address, m.target.ID, o, orderTimeout)
+	timeout := orderTimeout
+	if o.Adapter != "" {
+		timeout = adapterOrderTimeout
+	}
+	result, err := k.operator.Order(m.target.Address, m.target.ID, o, timeout)
 	fields := log.Fields{
 		"target": m.id, "kind": int(o.Kind), "model": o.Model, "adapter": o.Adapter,
 		"expected": o.ExpectedOrders, "token": token, "result": int(result),
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -33,6 +33,7 @@
 	Held []string
 	// AtHand are the models of which it keeps copies that load fast.
 	AtHand []string
+	Busy   bool
 	// Free is false while the target carries out an order or must not get one.
 	Free bool
 	// Leaving targets count for nothing.
@@ -49,7 +50,8 @@
 	Coming map[string]int
 	// Elsewhere counts the copies at targets that others place, and that callers
 	// of this zone reach.
-	Elsewhere map[string]int
+	Elsewhere     map[string]int
+	AdapterModels map[string]bool
 	// MayDrop reports whether the last copy in these slots may make way while
 	// there are others elsewhere. Of two zones with one copy each, one may not.
 	MayDrop func(model string) bool
--- a/internal/residency/target.go
+++ b/internal/residency/target.go
@@ -24,8 +24,10 @@
 	announceLead = 120 * time.Millisecond
 	// freshFor is how old a report may be for an order that changes models.
 	freshFor = 3 * time.Second
-	// orderTimeout bounds one order.
-	orderTimeout = 400 * time.Millisecond
+	// orderTimeout bounds one order; adapterOrderTimeout one for an adapter, for
+	// which a call waits. A target answers within milliseconds.
+	orderTimeout        = 400 * time.Millisecond
+	adapterOrderTimeout = 120 * time.Millisecond
 )
 
 // managed is what the holder knows of one target. Orders to a target are
