Quota holds at the start of a cut and with many instances; first specs

Change: below a reserve each instance keeps to its part and takes units with a probability that falls with what is left; a burst is divided at a cut; peers count as spending for 0.8 s without word.

--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -5,6 +5,7 @@
 package allowance
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -25,7 +26,7 @@
 
 // slackUsed is the part of the slack that is given to accounts. The rest covers
 // what peers spend before their word arrives.
-const slackUsed = 0.5
+const slackUsed = 0.2
 
 // widen returns the limit that keeps within the bounds.
 func (b QuotaBounds) widen(l AccountLimit) AccountLimit {
@@ -89,13 +90,17 @@
 }
 
 // told takes the newest count of a peer's run and returns what it adds to what
-// was known.
-func (b *bucket) told(run string, units float64, now time.Time) float64 {
+// was known. The first count of a run that was not met before tells of spending
+// that lies before this instance's own knowledge.
+func (b *bucket) told(run string, metBefore bool, units float64, now time.Time) float64 {
 	before, known := b.peers[run]
-	if !known {
+	if !known && !metBefore {
 		b.peers[run] = peerSpending{units: units, at: now}
 		return 0
 	}
+	if !known {
+		before.at = now.Add(-wordInterval)
+	}
 	if before.silent {
 		// What it spent meanwhile came from its own share.
 		b.peers[run] = peerSpending{units: units, rate: before.rate, at: now}
@@ -120,9 +125,12 @@
 type Quota struct {
 	bounds  QuotaBounds
 	started time.Time
+	random  func() float64
 
 	mu       sync.Mutex
 	accounts map[string]*bucket
+	// runs gives the time of the newest word of each run of a peer.
+	runs map[string]time.Time
 	// heard is the number of instances that spend from this bucket.
 	heard int
 	// share is the part of each rate that this instance counts on: 1 while all
@@ -132,7 +140,7 @@
 
 // NewQuota returns a quota that nothing was spent of.
 func NewQuota(b QuotaBounds, now time.Time) *Quota {
-	return &Quota{bounds: b, started: now, accounts: make(map[string]*bucket), share: 1, heard: 1}
+	return &Quota{bounds: b, started: now, random: rand.Float64, accounts: make(map[string]*bucket), runs: make(map[string]time.Time), share: 1, heard: 1}
 }
 
 // SetShare sets the part of each rate that may be spent by this instance and the
@@ -147,6 +155,10 @@
 	}
 	for _, b := range q.accounts {
 		b.refill(now, q.share)
+		// Of what is left of the burst, each side of a cut has its own part.
+		if share < q.share && b.level > 0 {
+			b.level *= share / q.share
+		}
 	}
 	q.share = share
 }
@@ -178,7 +190,7 @@
 
 func (b *bucket) refill(now time.Time, share float64) {
 	if passed := now.Sub(b.at).Seconds(); passed > 0 {
-		b.level = min(b.level+passed*b.limit.Rate*share, b.limit.Burst)
+		b.level = min(b.level+passed*b.limit.Rate*share, b.limit.Burst*share)
 		b.at = now
 	}
 }
@@ -194,14 +206,15 @@
 	defer q.mu.Unlock()
 	b := q.bucket(account, limit, now)
 	b.refill(now, q.share)
-	need := min(units, limit.Burst)
+	need := min(units, limit.Burst*q.share)
 	left := b.level - b.assumed(now)
 	rate := max(b.limit.Rate*q.share, 1)
 	if left < need {
 		return time.Duration((need - left) / rate * float64(time.Second)), false
 	}
 	own := paceFactor * rate / float64(q.heard)
-	if left < need*float64(q.heard) && b.paced(need, own, now) {
+	reserve := reserveShare * b.limit.Burst * q.share
+	if q.heard > 1 && left < reserve && (b.paced(need, own, now, q.heard) || q.random() > left/reserve) {
 		return time.Duration(need / own * float64(time.Second)), false
 	}
 	b.level -= units
@@ -210,16 +223,26 @@
 	return 0, true
 }
 
-// paceFactor is how far one instance may exceed an equal part of a rate while the
-// bucket is nearly empty: callers are spread unevenly.
-const paceFactor = 1.5
+const (
+	// reserveShare is the part of a burst below which a bucket counts as nearly
+	// empty. Several instances see the same units until they hear of one another,
+	// so that each then keeps to its own part, and takes units with a probability
+	// that falls with what is left.
+	reserveShare = 0.85
+	// paceFactor is how far the parts of a rate, and of a burst, add up to more
+	// than the whole: callers are spread unevenly.
+	paceFactor = 1.2
+)
 
-// paced reports whether this instance has to leave the rest of a nearly empty
-// bucket to others. Without it, all instances would take the last units at once,
-// before they hear of one another. The rate is the instance's own part.
-func (b *bucket) paced(need, rate float64, now time.Time) bool {
+// paced reports whether this instance has used its own part for now. The rate is
+// that of the part.
+func (b *bucket) paced(need, rate float64, now time.Time, heard int) bool {
+	depth := max(need, paceFactor*b.limit.Burst/float64(heard))
+	if b.pacedAt.IsZero() {
+		b.pace, b.pacedAt = depth, now
+	}
 	if passed := now.Sub(b.pacedAt).Seconds(); passed > 0 {
-		b.pace = min(b.pace+passed*rate, need)
+		b.pace = min(b.pace+passed*rate, depth)
 		b.pacedAt = now
 	}
 	return b.pace < need
@@ -230,7 +253,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if b := q.accounts[account]; b != nil {
-		b.level = min(b.level+units, b.limit.Burst)
+		b.level = min(b.level+units, b.limit.Burst*q.share)
+		b.pace += units
 		b.spent -= units
 	}
 }
@@ -267,9 +291,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	b := q.bucket(account, q.bounds.widen(limit), now)
-	for run, p := range b.peers {
-		if now.Sub(p.at) > runsKept {
+	for run, at := range q.runs {
+		if now.Sub(at) > runsKept {
 			delete(b.peers, run)
+			delete(q.runs, run)
 		}
 	}
 }
@@ -279,9 +304,11 @@
 func (q *Quota) PeerSpent(run string, list []Spending, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	_, met := q.runs[run]
+	q.runs[run] = now
 	for _, s := range list {
 		if b := q.accounts[s.Account]; b != nil {
-			b.level -= b.told(run, s.Units, now)
+			b.level -= b.told(run, met, s.Units, now)
 		}
 	}
 }
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,89 @@
+package catalog_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dotterellink/dotterellink/internal/catalog"
+)
+
+func state(version int64, routes ...catalog.Route) *catalog.State {
+	s := &catalog.State{Version: version, Routes: routes, KeyOwners: make(map[catalog.KeyHash]int)}
+	s.Index()
+	return s
+}
+
+var _ = Describe("State", func() {
+	s := state(1,
+		catalog.Route{Name: "short", Host: "a.example", PathPrefix: "/x/"},
+		catalog.Route{Name: "long", Host: "a.example", PathPrefix: "/x/y/"},
+		catalog.Route{Name: "other", Host: "b.example", PathPrefix: "/x/y/"},
+	)
+
+	DescribeTable("selects the longest prefix of the host",
+		func(host, path, name string) {
+			r := s.Route(host, path)
+			if name == "" {
+				Expect(r).To(BeNil())
+				return
+			}
+			Expect(r.Name).To(Equal(name))
+		},
+		Entry("short", "a.example", "/x/1", "short"),
+		Entry("long", "a.example", "/x/y/1", "long"),
+		Entry("host in other case", "A.Example", "/x/y/1", "long"),
+		Entry("other host", "b.example", "/x/y/", "other"),
+		Entry("prefix of the other host only", "b.example", "/x/1", ""),
+		Entry("prefix without its slash", "a.example", "/x", ""),
+	)
+
+	It("knows accounts by the hash of their keys only", func() {
+		s := state(1)
+		s.Accounts = []catalog.Account{{Name: "north"}, {Name: "south"}}
+		s.KeyOwners[catalog.HashKey("k2")] = 1
+		Expect(s.Account("k2").Name).To(Equal("south"))
+		Expect(s.Account("k1")).To(BeNil())
+		Expect(s.Account("")).To(BeNil())
+	})
+
+	It("needs a key only where accounts are and the route is not anonymous", func() {
+		s := state(1)
+		closed, open := &catalog.Route{}, &catalog.Route{Anonymous: true}
+		Expect(s.NeedsKey(closed)).To(BeFalse())
+		s.Accounts = []catalog.Account{{Name: "north"}}
+		Expect(s.NeedsKey(closed)).To(BeTrue())
+		Expect(s.NeedsKey(open)).To(BeFalse())
+	})
+
+	It("repeats idempotent calls and resumable streams only", func() {
+		Expect((&catalog.Route{Kind: catalog.Idempotent}).Repeatable()).To(BeTrue())
+		Expect((&catalog.Route{Kind: catalog.Stream, Resumable: true}).Repeatable()).To(BeTrue())
+		Expect((&catalog.Route{Kind: catalog.Stream}).Repeatable()).To(BeFalse())
+		Expect((&catalog.Route{Kind: catalog.AtMostOnce, Resumable: true}).Repeatable()).To(BeFalse())
+	})
+})
+
+var _ = Describe("Holder", func() {
+	It("never goes back to an older version", func() {
+		h, now := catalog.NewHolder(), time.Now()
+		Expect(h.Current()).To(BeNil())
+		Expect(h.Offer(state(5), now)).To(BeTrue())
+		Expect(h.Offer(state(4), now)).To(BeFalse())
+		Expect(h.Offer(state(5), now)).To(BeFalse())
+		Expect(h.Current().Version).To(Equal(int64(5)))
+		Expect(h.Offer(state(9), now)).To(BeTrue())
+		Expect(h.Current().Version).To(Equal(int64(9)))
+	})
+
+	It("counts its age from the last confirmation", func() {
+		h, start := catalog.NewHolder(), time.Now()
+		h.Offer(state(5), start)
+		Expect(h.Age(start.Add(3 * time.Second))).To(Equal(3 * time.Second))
+		h.Offer(state(5), start.Add(2*time.Second))
+		Expect(h.Age(start.Add(3 * time.Second))).To(Equal(time.Second))
+		h.Confirm(start)
+		Expect(h.Age(start.Add(3 * time.Second))).To(Equal(time.Second))
+	})
+})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -371,7 +371,7 @@
 		listed := func(id string) bool { return view.Targets[id] != nil }
 		g.board.Forget(listed, now)
 		g.view.Forget(listed)
-		known, heard := g.exchange.Known()
+		known, heard := g.exchange.Spenders()
 		g.quota.SetShare(allowance.Share(heard, known), heard, now)
 		g.trackAccounts(now)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -523,8 +523,19 @@
 	}
 }
 
-// Known returns the number of instances that may be alive and the number of
-// those heard, self included in both.
-func (e *Exchange) Known() (known, heard int) {
-	return len(e.Names()), 1 + len(e.Heard())
+// spendingHeardFor is how long a peer counts as heard where both would spend from
+// the same units: shorter than HeardFor, as each moment of doubt is spent twice.
+const spendingHeardFor = 800 * time.Millisecond
+
+// Spenders returns the number of instances that may be alive and the number of
+// those heard lately, self included in both.
+func (e *Exchange) Spenders() (known, heard int) {
+	now := e.now()
+	heard = 1
+	for _, p := range e.Heard() {
+		if now.Sub(p.HeardAt) < spendingHeardFor {
+			heard++
+		}
+	}
+	return len(e.Names()), heard
 }
--- /dev/null
+++ b/internal/residency/suite_test.go
@@ -0,0 +1,13 @@
+package residency_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestResidency(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Residency Suite")
+}
