--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,6 +77,20 @@
 	// ByService lists usable targets outside of evacuated zones, sorted by ID.
 	ByService map[string][]*Target
 	Evacuated map[string]bool
+
+	holders map[holding][]*Target
+}
+
+// holding names a model of a service.
+type holding struct{ service, model string }
+
+// Holders lists the targets of ByService that announce the model; without a
+// model, all of the service.
+func (v *View) Holders(service, model string) []*Target {
+	if model == "" {
+		return v.ByService[service]
+	}
+	return v.holders[holding{service, model}]
 }
 
 // Table keeps the targets. Readers take View without locking.
@@ -252,6 +266,7 @@
 		Targets:   make(map[string]*Target, len(t.targets)),
 		ByService: make(map[string][]*Target),
 		Evacuated: t.evacuated,
+		holders:   make(map[holding][]*Target),
 	}
 	for id, target := range t.targets {
 		v.Targets[id] = target
@@ -267,6 +282,14 @@
 			return 1
 		})
 	}
+	for service, list := range v.ByService {
+		for _, target := range list {
+			for _, m := range target.Models {
+				key := holding{service, m.Name}
+				v.holders[key] = append(v.holders[key], target)
+			}
+		}
+	}
 	t.view.Store(v)
 	for _, f := range t.onChange {
 		f()
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,159 @@
+package follow_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dotterellink/dotterellink/internal/follow"
+	"github.com/dotterellink/dotterellink/internal/platform"
+	"github.com/dotterellink/dotterellink/internal/standin/platformstandin"
+	"github.com/dotterellink/dotterellink/internal/telemetry"
+)
+
+// sink keeps what a follower learned.
+type sink struct {
+	mu       sync.Mutex
+	values   map[string]string
+	replaced int
+}
+
+func (s *sink) Replace(list []platform.Object, _ time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replaced++
+	s.values = make(map[string]string)
+	for _, o := range list {
+		s.values[o.Key] = string(o.Value)
+	}
+}
+
+func (s *sink) Change(o platform.Object, _ time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.Deleted {
+		delete(s.values, o.Key)
+		return
+	}
+	s.values[o.Key] = string(o.Value)
+}
+
+func (s *sink) get(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key]
+}
+
+// goneStore has no history.
+type goneStore struct {
+	platform.Objects
+	gone atomic.Bool
+}
+
+func (g *goneStore) Changes(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Object, platform.Version, error) {
+	if g.gone.Swap(false) {
+		return nil, 0, platform.ErrHistoryGone
+	}
+	return g.Objects.Changes(ctx, prefix, after, wait)
+}
+
+var _ = Describe("Follower", func() {
+	var store *platformstandin.Store
+	var ctx context.Context
+	var lost []error
+	var mu sync.Mutex
+
+	follower := func(objects platform.Objects, s *sink, watching bool, relay func(follow.Word)) *follow.Follower {
+		return follow.New(follow.Config{
+			Objects: objects, Prefix: "k/", Wait: 200 * time.Millisecond, Sink: s,
+			Watching: func() bool { return watching }, Relay: relay,
+			Lost: func(err error) { mu.Lock(); lost = append(lost, err); mu.Unlock() },
+			Back: func(time.Time) {}, Log: telemetry.Discard(),
+		})
+	}
+	put := func(key, value string, version platform.Version) platform.Version {
+		o, err := store.Put(ctx, key, []byte(value), version)
+		Expect(err).NotTo(HaveOccurred())
+		return o.Version
+	}
+
+	BeforeEach(func() {
+		store = platformstandin.NewStore(clockwork.NewRealClock(), 1)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		lost = nil
+	})
+
+	It("follows changes and deletions, and relays them to an instance that makes no calls", func() {
+		first, second := &sink{}, &sink{}
+		other := follower(nil, second, false, nil)
+		watcher := follower(store, first, true, func(w follow.Word) { other.Heard(w) })
+		v := put("k/a", "1", 0)
+		go watcher.Run(ctx) //nolint:errcheck // Ends with the context.
+		Eventually(func() string { return first.get("k/a") }).Should(Equal("1"))
+		v = put("k/a", "2", v)
+		Eventually(func() string { return second.get("k/a") }).Should(Equal("2"))
+		Expect(store.Delete(ctx, "k/a", v)).To(Succeed())
+		Eventually(func() string { return second.get("k/a") }).Should(BeEmpty())
+	})
+
+	It("looks itself once word is overdue", func() {
+		s := &sink{}
+		put("k/a", "1", 0)
+		f := follower(store, s, false, func(follow.Word) {})
+		go f.Run(ctx) //nolint:errcheck // Ends with the context.
+		Eventually(func() string { return s.get("k/a") }).Should(Equal("1"))
+		put("k/b", "2", 0)
+		Eventually(func() string { return s.get("k/b") }, 3*time.Second).Should(Equal("2"))
+	})
+
+	It("lists anew when the history is gone", func() {
+		s := &sink{}
+		put("k/a", "1", 0)
+		g := &goneStore{Objects: store}
+		f := follower(g, s, true, func(follow.Word) {})
+		go f.Run(ctx) //nolint:errcheck // Ends with the context.
+		Eventually(func() string { return s.get("k/a") }).Should(Equal("1"))
+		g.gone.Store(true)
+		put("k/b", "2", 0)
+		Eventually(func() string { return s.get("k/b") }, 3*time.Second).Should(Equal("2"))
+	})
+
+	It("keeps the last state while the store is away, and tells of it", func() {
+		s := &sink{}
+		put("k/a", "1", 0)
+		f := follower(store, s, true, func(follow.Word) {})
+		go f.Run(ctx) //nolint:errcheck // Ends with the context.
+		Eventually(func() string { return s.get("k/a") }).Should(Equal("1"))
+		store.SetFaults(platformstandin.Faults{Outage: true})
+		Eventually(func() int { mu.Lock(); defer mu.Unlock(); return len(lost) }, 3*time.Second).Should(BeNumerically(">", 0))
+		Expect(s.get("k/a")).To(Equal("1"))
+	})
+
+	It("ignores a word that starts after what it knows, and looks itself", func() {
+		s := &sink{}
+		v := put("k/a", "1", 0)
+		f := follower(store, s, false, func(follow.Word) {})
+		f.Heard(follow.Word{Prefix: "k/", From: uint64(v) + 10, To: uint64(v) + 11, Objects: []follow.Object{{Key: "k/a", Value: []byte("9"), Version: uint64(v) + 11}}})
+		Expect(s.get("k/a")).To(BeEmpty())
+		go f.Run(ctx) //nolint:errcheck // Ends with the context.
+		Eventually(func() string { return s.get("k/a") }).Should(Equal("1"))
+	})
+
+	It("never goes back to an older object or an older list", func() {
+		s := &sink{}
+		f := follower(nil, s, false, nil)
+		f.Heard(follow.Word{Prefix: "k/", Full: true, To: 10, Objects: []follow.Object{{Key: "k/a", Value: []byte("new"), Version: 9}}})
+		f.Heard(follow.Word{Prefix: "k/", Full: true, To: 5, Objects: []follow.Object{{Key: "k/a", Value: []byte("old"), Version: 4}}})
+		f.Heard(follow.Word{Prefix: "k/", From: 8, To: 10, Objects: []follow.Object{{Key: "k/a", Value: []byte("old"), Version: 4}}})
+		Expect(s.get("k/a")).To(Equal("new"))
+		Expect(f.Version()).To(Equal(uint64(10)))
+	})
+})
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -116,7 +116,7 @@
 	maxOpen := max(1, int(connectionShare*float64(service.MaxConnections))/max(1, len(names)))
 	var out []dispatch.Candidate
 	var wait time.Duration
-	for _, t := range f.Fleet.View().ByService[f.service] {
+	for _, t := range f.Fleet.View().Holders(f.service, f.call.Model) {
 		holds, adapter := f.Residency.Holds(t, f.call.Model, f.call.Adapter)
 		if !holds {
 			continue
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -218,20 +218,6 @@
 	slotsKept = 1
 )
 
-// adapterModels lists the models whose adapters are in use.
-func (k *Keeper) adapterModels(now time.Time) map[string]bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	out := make(map[string]bool)
-	for name, at := range k.adapterUse {
-		if now.Sub(at) <= adapterSpread {
-			model, _ := cutAdapter(name)
-			out[model] = true
-		}
-	}
-	return out
-}
-
 // spreadAdapters loads adapters in use at further targets with room.
 func (k *Keeper) spreadAdapters(list []*managed, engine *catalog.Engine, now time.Time) {
 	copies := make(map[string]int)
--- a/internal/residency/keeper.go
+++ b/internal/residency/keeper.go
@@ -254,7 +254,6 @@
 	s.Demand, s.Wanted = k.demand.Rates(service, now)
 	s.Settled = k.settled(service, len(view.ByService[service]), now)
 	k.lookElsewhere(&s, zone, service, view, now)
-	s.AdapterModels = k.adapterModels(now)
 	byID := make(map[string]*managed, len(list))
 	for _, m := range list {
 		byID[m.id] = m
@@ -313,7 +312,7 @@
 // lookElsewhere adds the copies in other zones that are not cut off.
 func (k *Keeper) lookElsewhere(s *Situation, zone, service string, view *fleet.View, now time.Time) {
 	heard := k.zonesHeard()
-	s.Elsewhere = make(map[string]int)
+	s.Elsewhere, s.HeldElsewhere = make(map[string]int), make(map[string]int)
 	holders := make(map[string][]string)
 	zones := map[string]bool{zone: true}
 	for _, t := range view.ByService[service] {
@@ -322,9 +321,16 @@
 		}
 		zones[t.Zone] = true
 		for _, model := range k.view.Models(t) {
-			holders[model] = append(holders[model], t.Zone)
-			if t.Zone != zone {
-				s.Elsewhere[model]++
+			holds := t.Holds(model)
+			if holds {
+				holders[model] = append(holders[model], t.Zone)
+			}
+			if t.Zone == zone {
+				continue
+			}
+			s.Elsewhere[model]++
+			if holds {
+				s.HeldElsewhere[model]++
 			}
 		}
 	}
@@ -411,7 +417,6 @@
 	}
 	return Slot{
 		TargetID: m.id, Zone: m.target.Zone, Held: held, AtHand: m.atHand,
-		Busy:    m.busy || m.move != nil,
 		Free:    m.fresh(now) && m.move == nil,
 		Leaving: !m.target.Usable() || view.Evacuated[m.target.Zone],
 		Work:    k.work(m.id),
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -50,8 +50,9 @@
 	Coming map[string]int
 	// Elsewhere counts the copies at targets that others place, and that callers
 	// of this zone reach.
-	Elsewhere     map[string]int
-	AdapterModels map[string]bool
+	Elsewhere map[string]int
+	// HeldElsewhere is the part of Elsewhere that is loaded, not under way.
+	HeldElsewhere map[string]int
 	// MayDrop reports whether the last copy in these slots may make way while
 	// there are others elsewhere. Of two zones with one copy each, one may not.
 	MayDrop func(model string) bool
@@ -100,15 +101,19 @@
 // planning is a plan under way.
 type planning struct {
 	Situation
-	copies  map[string]int
-	own     map[string]int
+	// copies counts those held and under way, here and elsewhere; own those here.
+	copies map[string]int
+	own    map[string]int
+	// held counts those loaded now, here and elsewhere: only they let another make
+	// way, as a load may fail.
+	held    map[string]int
 	used    map[string]bool
 	steps   []Step
 	skipped map[string]bool
 }
 
 func newPlanning(s Situation) *planning {
-	p := &planning{Situation: s, copies: make(map[string]int), own: make(map[string]int), used: make(map[string]bool), skipped: make(map[string]bool)}
+	p := &planning{Situation: s, copies: make(map[string]int), own: make(map[string]int), held: make(map[string]int), used: make(map[string]bool), skipped: make(map[string]bool)}
 	for model, n := range s.Coming {
 		p.copies[model] += n
 		p.own[model] += n
@@ -116,6 +121,9 @@
 	for model, n := range s.Elsewhere {
 		p.copies[model] += n
 	}
+	for model, n := range s.HeldElsewhere {
+		p.held[model] += n
+	}
 	for _, slot := range s.Slots {
 		if slot.Leaving {
 			continue
@@ -123,6 +131,7 @@
 		for _, model := range slot.Held {
 			p.copies[model]++
 			p.own[model]++
+			p.held[model]++
 		}
 	}
 	return p
@@ -222,6 +231,7 @@
 	if o.unload != "" {
 		p.copies[o.unload]--
 		p.own[o.unload]--
+		p.held[o.unload]--
 	}
 	p.copies[model]++
 	p.own[model]++
@@ -251,7 +261,7 @@
 
 // droppable reports whether a copy of the model may make way.
 func (p *planning) droppable(model string) bool {
-	if p.copies[model] < 2 {
+	if p.held[model] < 2 {
 		return false
 	}
 	return p.own[model] > 1 || p.MayDrop != nil && p.MayDrop(model)
--- a/internal/residency/suite_test.go
+++ b/internal/residency/suite_test.go
@@ -1,4 +1,4 @@
-package residency_test
+package residency
 
 import (
 	"testing"
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,260 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dotterellink/dotterellink/internal/upstream"
+)
+
+// rawTarget answers on raw connections, so that it can misbehave.
+type rawTarget struct {
+	listener net.Listener
+	accepted atomic.Int32
+	requests atomic.Int32
+	// handle gets each connection and may read requests from it.
+	handle func(c net.Conn, r *bufio.Reader)
+	wait   sync.WaitGroup
+}
+
+func newRawTarget(handle func(t *rawTarget, c net.Conn, r *bufio.Reader)) *rawTarget {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	t := &rawTarget{listener: l}
+	t.handle = func(c net.Conn, r *bufio.Reader) { handle(t, c, r) }
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.accepted.Add(1)
+			go func() {
+				defer c.Close()
+				t.handle(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	DeferCleanup(l.Close)
+	return t
+}
+
+func (t *rawTarget) address() string { return t.listener.Addr().String() }
+
+// next reads one request with its body.
+func (t *rawTarget) next(r *bufio.Reader) (*http.Request, string) {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, ""
+	}
+	t.requests.Add(1)
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, ""
+	}
+	return request, string(body)
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Call: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+var _ = Describe("Client", func() {
+	var client *upstream.Client
+
+	request := func(t *rawTarget, id string) *upstream.Request {
+		return &upstream.Request{
+			TargetID: "t1", Address: t.address(), Method: http.MethodPost, URI: "/a/b?c=d", Host: "h.example",
+			Header: http.Header{"X-Call": {id}}, Body: []byte("question"), HasBody: true,
+			MaxIdle: time.Second, Deadline: time.Now().Add(2 * time.Second),
+			Belongs: func(h http.Header) bool { return h.Get("X-Call") == id },
+		}
+	}
+	call := func(t *rawTarget, id string) (string, error) {
+		response, err := client.Do(context.Background(), request(t, id))
+		if err != nil {
+			return "", err
+		}
+		defer response.Close()
+		body, err := io.ReadAll(response)
+		return string(body), err
+	}
+	echo := func(t *rawTarget, c net.Conn, r *bufio.Reader) {
+		for {
+			q, body := t.next(r)
+			if q == nil {
+				return
+			}
+			fmt.Fprint(c, answer(q.Header.Get("X-Call"), body+" "+q.RequestURI+" "+q.Host))
+		}
+	}
+
+	BeforeEach(func() { client = upstream.NewClient(prometheus.NewRegistry()) })
+
+	It("sends method, path, query, host and body unchanged and uses connections again", func() {
+		t := newRawTarget(echo)
+		for i := range 5 {
+			body, err := call(t, fmt.Sprint("c", i))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal("question /a/b?c=d h.example"))
+		}
+		Expect(t.accepted.Load()).To(Equal(int32(1)))
+		Expect(client.Open("t1", t.address())).To(Equal(1))
+	})
+
+	It("skips a late answer to another call and does not use the connection again", func() {
+		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) {
+			for {
+				q, _ := t.next(r)
+				if q == nil {
+					return
+				}
+				fmt.Fprint(c, answer("stranger", "not yours"), answer(q.Header.Get("X-Call"), "yours"))
+			}
+		})
+		Expect(call(t, "c1")).To(Equal("yours"))
+		Expect(call(t, "c2")).To(Equal("yours"))
+		Expect(t.accepted.Load()).To(Equal(int32(2)))
+	})
+
+	It("closes a connection on which bytes follow a whole answer", func() {
+		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) {
+			for {
+				q, _ := t.next(r)
+				if q == nil {
+					return
+				}
+				fmt.Fprint(c, answer(q.Header.Get("X-Call"), "yours")+answer(q.Header.Get("X-Call"), "again"))
+			}
+		})
+		Expect(call(t, "c1")).To(Equal("yours"))
+		time.Sleep(20 * time.Millisecond)
+		Expect(call(t, "c2")).To(Equal("yours"))
+		Expect(t.accepted.Load()).To(Equal(int32(2)))
+	})
+
+	It("never sends a call again on a connection that died idle", func() {
+		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) {
+			q, _ := t.next(r)
+			if q != nil {
+				fmt.Fprint(c, answer(q.Header.Get("X-Call"), "yours"))
+			}
+		})
+		for i := range 4 {
+			Expect(call(t, fmt.Sprint("c", i))).To(Equal("yours"))
+			time.Sleep(20 * time.Millisecond)
+		}
+		Expect(t.requests.Load()).To(Equal(int32(4)))
+	})
+
+	It("tells that nothing was sent where no connection is made", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		t := &rawTarget{listener: l}
+		l.Close()
+		_, err = call(t, "c1")
+		Expect(errors.Is(err, upstream.ErrNotSent)).To(BeTrue())
+	})
+
+	It("tells that the outcome is unknown where the target breaks off, and sends once", func() {
+		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) { t.next(r) })
+		_, err := call(t, "c1")
+		Expect(errors.Is(err, upstream.ErrUnknown)).To(BeTrue())
+		Expect(t.requests.Load()).To(Equal(int32(1)))
+	})
+
+	It("tells that the outcome is unknown where bytes come that are no answer", func() {
+		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) {
+			t.next(r)
+			fmt.Fprint(c, "\x00\x01garbage\r\n\r\n")
+		})
+		_, err := call(t, "c1")
+		Expect(errors.Is(err, upstream.ErrUnknown)).To(BeTrue())
+	})
+
+	It("fails the body of an answer that is cut", func() {
+		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) {
+			t.next(r)
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Call: c1\r\nContent-Length: 100\r\n\r\nhalf")
+		})
+		_, err := call(t, "c1")
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	})
+
+	It("does not use a connection again whose call was answered before it was sent in full", func() {
+		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) {
+			head, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			fmt.Fprint(c, answer(head.Header.Get("X-Call"), "early"))
+			time.Sleep(200 * time.Millisecond)
+			_, _ = io.Copy(io.Discard, head.Body)
+		})
+		long := request(t, "c1")
+		long.Body = []byte(strings.Repeat("x", 8<<20))
+		response, err := client.Do(context.Background(), long)
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(response)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("early"))
+		response.Close()
+		Expect(client.Open("t1", t.address())).To(BeZero())
+	})
+
+	It("closes the connection when the caller leaves", func() {
+		closed := make(chan struct{})
+		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) {
+			t.next(r)
+			_, _ = r.ReadByte()
+			close(closed)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(50*time.Millisecond, cancel)
+		_, err := client.Do(ctx, request(t, "c1"))
+		Expect(errors.Is(err, upstream.ErrUnknown)).To(BeTrue())
+		Eventually(closed, 500*time.Millisecond).Should(BeClosed())
+	})
+
+	It("does not use connections that are idle for longer than the call allows", func() {
+		t := newRawTarget(echo)
+		Expect(call(t, "c1")).NotTo(BeEmpty())
+		time.Sleep(60 * time.Millisecond)
+		again := request(t, "c2")
+		again.MaxIdle = 20 * time.Millisecond
+		response, err := client.Do(context.Background(), again)
+		Expect(err).NotTo(HaveOccurred())
+		response.Close()
+		Expect(t.accepted.Load()).To(Equal(int32(2)))
+	})
+
+	It("heeds Connection: close and the idle time that the target tells", func() {
+		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) {
+			for {
+				q, _ := t.next(r)
+				if q == nil {
+					return
+				}
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Call: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", q.Header.Get("X-Call"))
+			}
+		})
+		for i := range 3 {
+			_, err := call(t, fmt.Sprint("c", i))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(t.accepted.Load()).To(Equal(int32(3)))
+	})
+})
