--- /dev/null
+++ b/internal/passthrough/server_test.go
@@ -0,0 +1,487 @@
+package passthrough_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dotterellink/dotterellink/internal/allowance"
+	"github.com/dotterellink/dotterellink/internal/call"
+	"github.com/dotterellink/dotterellink/internal/catalog"
+	"github.com/dotterellink/dotterellink/internal/dispatch"
+	"github.com/dotterellink/dotterellink/internal/fleet"
+	"github.com/dotterellink/dotterellink/internal/passthrough"
+	"github.com/dotterellink/dotterellink/internal/telemetry"
+	"github.com/dotterellink/dotterellink/internal/upstream"
+)
+
+// plain is a dialect of its own, so that the specs depend on no platform.
+type plain struct{}
+
+func (plain) Decode(r *http.Request, arrived time.Time) (*call.Call, error) {
+	if r.Header.Get("Id") == "" {
+		return nil, call.ErrMalformed
+	}
+	ms, _ := strconv.Atoi(r.Header.Get("Patience"))
+	tokens, _ := strconv.Atoi(r.Header.Get("Tokens"))
+	return &call.Call{
+		ID: r.Header.Get("Id"), Method: r.Method, URI: r.RequestURI, Host: r.Host, Path: r.URL.Path, Key: r.Header.Get("Key"),
+		Arrived: arrived, Patience: time.Duration(ms) * time.Millisecond, Header: http.Header{}, HasBody: r.ContentLength != 0,
+		Model: r.Header.Get("Model"), TellsTokens: tokens > 0, PromptTokens: tokens, LastEventID: r.Header.Get("Last"),
+	}, nil
+}
+
+func (plain) AttemptHeader(c *call.Call, a call.Attempt) http.Header {
+	h := http.Header{"Id": {c.ID}, "Remaining": {strconv.FormatInt(a.Remaining.Milliseconds(), 10)}, "Target": {a.TargetID}, "Account": {a.Account}}
+	if a.LastEventID != "" {
+		h.Set("Last", a.LastEventID)
+	}
+	return h
+}
+
+func (plain) Outcome(status int, h http.Header) call.Outcome {
+	return call.Outcome{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", WrongTarget: status == 421, Authentic: h.Get("Seal") != ""}
+}
+func (plain) AnswerHeader(h http.Header) http.Header { return h.Clone() }
+func (plain) RefusalHeader(_ *call.Call, after time.Duration) http.Header {
+	return http.Header{"Retry-After": {strconv.FormatFloat(after.Seconds(), 'f', 2, 64)}}
+}
+
+type everywhere struct{ unserved atomic.Int32 }
+
+func (*everywhere) Holds(t *fleet.Target, model, _ string) (bool, bool) {
+	return model == "" || t.Holds(model), true
+}
+func (*everywhere) EnsureAdapter(context.Context, string, string, string, string) (string, error) {
+	return "", errors.New("none")
+}
+func (e *everywhere) Demand(_, _, _ string, _ time.Duration, unserved bool) {
+	if unserved {
+		e.unserved.Add(1)
+	}
+}
+func (*everywhere) ExpectedLoad(string, string) (time.Duration, bool) { return 2 * time.Second, true }
+
+type one struct{}
+
+func (one) Self() string        { return "i1" }
+func (one) Names() []string     { return []string{"i1"} }
+func (one) ZoneCut(string) bool { return false }
+
+// standIn is a target whose behavior a spec sets.
+type standIn struct {
+	id    string
+	calls atomic.Int32
+	mu    sync.Mutex
+	seen  []http.Header
+	do    http.HandlerFunc
+}
+
+func (s *standIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
+	s.mu.Lock()
+	s.seen = append(s.seen, r.Header.Clone())
+	do := s.do
+	s.mu.Unlock()
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Seal", s.id)
+	do(w, r)
+}
+
+func (s *standIn) header(i int) http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[i]
+}
+
+func ok(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	fmt.Fprintf(w, "%s %s", r.URL.Path, body)
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func cut(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+// events sends the events from to until, and ends the stream whole or cut.
+func events(from, until int, whole bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for i := from; i <= until; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+			_ = http.NewResponseController(w).Flush()
+		}
+		if !whole {
+			fmt.Fprint(w, "id: ")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+var _ = Describe("Server", func() {
+	var server *passthrough.Server
+	var front *httptest.Server
+	var targets []*standIn
+	var holder *catalog.Holder
+	var table *fleet.Table
+	var residency *everywhere
+	var route *catalog.Route
+
+	BeforeEach(func() {
+		holder, table, targets, residency = catalog.NewHolder(), fleet.NewTable(), nil, &everywhere{}
+		for i := range 2 {
+			s := &standIn{id: fmt.Sprint("t", i), do: ok}
+			back := httptest.NewServer(s)
+			DeferCleanup(back.Close)
+			targets = append(targets, s)
+			table.Announced(fleet.Announcement{ID: s.id, Service: "s", Zone: "z", Slots: 6, Address: strings.TrimPrefix(back.URL, "http://")}, time.Now())
+		}
+		route = &catalog.Route{Name: "r", Host: "h.example", PathPrefix: "/a/", Timeout: time.Second, MaxAttempts: 1, Services: []catalog.WeightedService{{Service: "s"}}}
+		registry := prometheus.NewRegistry()
+		server = passthrough.NewServer(passthrough.Dependencies{
+			Zone: "z", Dialect: plain{}, Catalog: holder, Fleet: table, Board: dispatch.NewBoard(), Upstream: upstream.NewClient(registry),
+			Quota:   allowance.NewQuota(allowance.QuotaBounds{}, time.Now().Add(-time.Hour)),
+			Retries: allowance.NewRetries(allowance.RetryBounds{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}),
+			Cold:    allowance.NewCold(allowance.ColdBounds{Overshoot: 1, Slack: 2}), Residency: residency, Members: one{},
+			Log: telemetry.Discard(), Tracer: telemetry.NoTracing().Tracer, Metrics: registry, Now: time.Now,
+		})
+		front = httptest.NewServer(server)
+		DeferCleanup(front.Close)
+	})
+
+	publish := func(change func(s *catalog.State)) {
+		s := &catalog.State{
+			Version: time.Now().UnixNano(), Routes: []catalog.Route{*route}, KeyOwners: make(map[catalog.KeyHash]int),
+			Services: map[string]*catalog.Service{"s": {Name: "s", MaxConnections: 100}},
+		}
+		if change != nil {
+			change(s)
+		}
+		s.Index()
+		holder.Offer(s, time.Now())
+	}
+	both := func(do http.HandlerFunc) {
+		for _, t := range targets {
+			t.do = do
+		}
+	}
+	calls := func() int { return int(targets[0].calls.Load() + targets[1].calls.Load()) }
+	send := func(fields ...string) (*http.Response, string, error) {
+		r, err := http.NewRequest(http.MethodPost, front.URL+"/a/x", strings.NewReader("body"))
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = "h.example"
+		r.Header.Set("Id", "c1")
+		for i := 0; i+1 < len(fields); i += 2 {
+			r.Header.Set(fields[i], fields[i+1])
+		}
+		answer, err := front.Client().Do(r)
+		if err != nil {
+			return nil, "", err
+		}
+		defer answer.Body.Close()
+		body, err := io.ReadAll(answer.Body)
+		return answer, string(body), err
+	}
+	status := func(fields ...string) int {
+		answer, _, err := send(fields...)
+		Expect(err).NotTo(HaveOccurred())
+		return answer.StatusCode
+	}
+
+	It("knows no state at first, and says that nothing ran", func() {
+		answer, _, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("passes a call through and its answer back", func() {
+		publish(nil)
+		answer, body, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusOK))
+		Expect(answer.Header.Get("Seal")).To(HavePrefix("t"))
+		Expect(body).To(Equal("/a/x body"))
+	})
+
+	It("denies unknown routes and keys, but not from a state that is too old to know", func() {
+		publish(func(s *catalog.State) {
+			s.Accounts = []catalog.Account{{Name: "north"}}
+			s.KeyOwners[catalog.HashKey("k1")] = 0
+		})
+		Expect(status("Key", "k1")).To(Equal(http.StatusOK))
+		Expect(status("Key", "other")).To(Equal(http.StatusUnauthorized))
+		Expect(status()).To(Equal(http.StatusUnauthorized))
+		for _, t := range targets {
+			if t.calls.Load() > 0 {
+				Expect(t.header(0).Get("Account")).To(Equal("north"))
+			}
+		}
+		old := holder.Current()
+		holder2 := *old
+		holder2.Version++
+		holder2.Routes = nil
+		holder2.Index()
+		holder.Offer(&holder2, time.Now().Add(-time.Minute))
+		Expect(status("Key", "k1")).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("refuses what lies beyond an account's quota, with the time to come back", func() {
+		publish(func(s *catalog.State) {
+			s.Accounts = []catalog.Account{{Name: "north", Rate: 100, Burst: 1000, CountsTokens: true}}
+			s.KeyOwners[catalog.HashKey("k1")] = 0
+		})
+		Expect(status("Key", "k1", "Tokens", "900")).To(Equal(http.StatusOK))
+		answer, _, err := send("Key", "k1", "Tokens", "900")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusTooManyRequests))
+		after, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after).To(BeNumerically("~", 8, 0.5))
+		Expect(calls()).To(Equal(1))
+	})
+
+	It("sends a call that must not run twice once, and promises nothing when its outcome is unknown", func() {
+		publish(nil)
+		both(cut)
+		Expect(status()).To(Equal(http.StatusBadGateway))
+		Expect(calls()).To(Equal(1))
+	})
+
+	It("sends such a call on where the target states that it did not run, and then says so itself", func() {
+		publish(nil)
+		both(notRun)
+		Expect(status()).To(Equal(http.StatusServiceUnavailable))
+		Expect(calls()).To(Equal(2))
+	})
+
+	It("repeats an idempotent call at another target, with less time left", func() {
+		route.Kind, route.MaxAttempts = catalog.Idempotent, 2
+		publish(nil)
+		first := atomic.Bool{}
+		both(func(w http.ResponseWriter, r *http.Request) {
+			if first.CompareAndSwap(false, true) {
+				time.Sleep(30 * time.Millisecond)
+				panic(http.ErrAbortHandler)
+			}
+			ok(w, r)
+		})
+		Expect(status()).To(Equal(http.StatusOK))
+		Expect([]int32{targets[0].calls.Load(), targets[1].calls.Load()}).To(Equal([]int32{1, 1}))
+	})
+
+	It("delivers a target's own error if the repeat does no better", func() {
+		route.Kind, route.MaxAttempts = catalog.Idempotent, 2
+		publish(nil)
+		both(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+		answer, _, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusInternalServerError))
+		Expect(answer.Header.Get("Seal")).NotTo(BeEmpty())
+		Expect(calls()).To(Equal(2))
+	})
+
+	It("hands on no more time than is left", func() {
+		publish(nil)
+		Expect(status("Patience", "400")).To(Equal(http.StatusOK))
+		t := targets[0]
+		if t.calls.Load() == 0 {
+			t = targets[1]
+		}
+		left, err := strconv.Atoi(t.header(0).Get("Remaining"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(left).To(BeNumerically("<=", 400))
+	})
+
+	It("ends a call at the route's time-out", func() {
+		route.Timeout = 300 * time.Millisecond
+		publish(nil)
+		both(func(_ http.ResponseWriter, r *http.Request) {
+			// A server learns of a closed connection only once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		})
+		start := time.Now()
+		Expect(status()).To(Equal(http.StatusGatewayTimeout))
+		Expect(time.Since(start)).To(BeNumerically("<", 600*time.Millisecond))
+	})
+
+	It("takes an answer without the target's mark for none", func() {
+		publish(nil)
+		both(func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("Seal"); fmt.Fprint(w, "garbage") })
+		Expect(status()).To(Equal(http.StatusBadGateway))
+	})
+
+	It("does not make a cut answer look whole", func() {
+		publish(nil)
+		both(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			fmt.Fprint(w, "half")
+		})
+		answer, body, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(body).NotTo(ContainSubstring("half"))
+	})
+
+	Describe("streams", func() {
+		BeforeEach(func() { route.Kind = catalog.Stream })
+
+		It("relays events as they come", func() {
+			publish(nil)
+			both(events(1, 3, true))
+			_, body, err := send()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"))
+		})
+
+		It("breaks a stream off that broke, so that it does not look whole", func() {
+			publish(nil)
+			both(events(1, 2, false))
+			_, body, err := send()
+			Expect(err).To(HaveOccurred())
+			Expect(body).To(HaveSuffix("id: 2\ndata: x\n\n"))
+			Expect(calls()).To(Equal(1))
+		})
+
+		It("goes on at another target after the last whole event, without gap or repeat", func() {
+			route.Resumable, route.MaxAttempts = true, 2
+			publish(nil)
+			both(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Last") == "" {
+					events(1, 2, false)(w, r)
+					return
+				}
+				Expect(r.Header.Get("Last")).To(Equal("2"))
+				// The target repeats one event.
+				events(2, 4, true)(w, r)
+			})
+			_, body, err := send()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(strings.Count(body, "id: ")).To(Equal(4))
+			Expect([]int32{targets[0].calls.Load(), targets[1].calls.Load()}).To(Equal([]int32{1, 1}))
+		})
+
+		It("ends a stream in which an event is missing", func() {
+			publish(nil)
+			both(func(w http.ResponseWriter, r *http.Request) {
+				events(1, 1, true)(w, r)
+				events(3, 3, true)(w, r)
+			})
+			_, _, err := send()
+			Expect(err).To(HaveOccurred())
+		})
+
+		It("refuses at once what no target can begin in time", func() {
+			route.Timeout = 10 * time.Second
+			publish(func(s *catalog.State) {
+				s.Services["s"].Engine = &catalog.Engine{Slots: 64, KVTokens: 1 << 30}
+			})
+			for _, a := range table.View().Targets {
+				held := a.Announcement
+				held.Models = []fleet.HeldModel{{Name: "m"}}
+				table.Announced(held, time.Now())
+			}
+			start := time.Now()
+			answer, _, err := send("Model", "m", "Tokens", "5000000")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(time.Since(start)).To(BeNumerically("<", 200*time.Millisecond))
+			Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
+			Expect(calls()).To(BeZero())
+		})
+	})
+
+	It("refuses a call for a model that no target holds, with the time of its load, and counts the demand", func() {
+		publish(func(s *catalog.State) { s.Services["s"].Engine = &catalog.Engine{Slots: 64} })
+		answer, _, err := send("Model", "none")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(answer.Header.Get("Retry-After")).To(Equal("2.00"))
+		Expect(residency.unserved.Load()).To(Equal(int32(1)))
+	})
+
+	It("keeps a cold target within its bound while many calls come at once", func() {
+		publish(func(s *catalog.State) {
+			s.Services["s"].ColdRate, s.Services["s"].ColdStart = 3, 3*time.Second
+		})
+		for _, t := range table.View().Targets {
+			cold := t.Announcement
+			cold.ColdLeft, cold.BornMS = 3*time.Second, 9
+			table.Announced(cold, time.Now())
+		}
+		var group sync.WaitGroup
+		for range 40 {
+			group.Add(1)
+			go func() { defer GinkgoRecover(); defer group.Done(); status() }()
+		}
+		group.Wait()
+		for _, t := range targets {
+			Expect(t.calls.Load()).To(BeNumerically("<=", 5), "3 a second and a slack of 2")
+		}
+	})
+
+	It("cancels the target's work soon after the caller has left", func() {
+		publish(nil)
+		canceled := make(chan struct{})
+		both(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			<-r.Context().Done()
+			close(canceled)
+		})
+		conn, err := net.Dial("tcp", strings.TrimPrefix(front.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		fmt.Fprint(conn, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nId: c1\r\nContent-Length: 2\r\n\r\nhi")
+		time.Sleep(100 * time.Millisecond)
+		conn.Close()
+		Eventually(canceled, 500*time.Millisecond).Should(BeClosed())
+	})
+
+	It("ends connections once it leaves, and refuses calls once it is closed", func() {
+		publish(nil)
+		server.Leave()
+		answer, _, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Close).To(BeTrue())
+		server.Close()
+		Expect(status()).To(Equal(http.StatusServiceUnavailable))
+		Expect(calls()).To(Equal(1))
+	})
+
+	It("refuses a body beyond the limit", func() {
+		publish(func(s *catalog.State) { s.Limits.MaxBodyBytes = 3 })
+		Expect(status()).To(Equal(http.StatusRequestEntityTooLarge))
+	})
+
+	It("does not take a smuggled call in a body for one", func() {
+		publish(nil)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(front.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		inner := "POST /a/inner HTTP/1.1\r\nHost: h.example\r\nId: c2\r\nContent-Length: 0\r\n\r\n"
+		fmt.Fprintf(conn, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nId: c1\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner)
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("/a/x " + inner))
+		Expect(calls()).To(Equal(1))
+	})
+})
