--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -253,9 +253,11 @@
 
 // introduce finds the peers: in the store and from seeds.
 func (g *Gateway) introduce(ctx context.Context) error {
-	g.exchange.Seed(g.settings.Seeds)
 	registered := false
 	for {
+		if len(g.exchange.Names()) == 1 {
+			g.exchange.Seed(g.settings.Seeds)
+		}
 		if !registered {
 			registered = g.register(ctx) == nil
 		}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,218 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dotterellink/dotterellink/internal/gateway"
+	port "github.com/dotterellink/dotterellink/internal/platform"
+	"github.com/dotterellink/dotterellink/internal/standin/platformstandin"
+	"github.com/dotterellink/dotterellink/internal/telemetry"
+	"github.com/dotterellink/dotterellink/platform"
+)
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// instance is one gateway under test.
+type instance struct {
+	settings gateway.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func (i *instance) call(path string) (int, string) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+i.settings.Listen.Callers+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "h.example"
+	r.Header.Set("X-Dotterellink-Attempt-Id", fmt.Sprint("id", time.Now().UnixNano()))
+	r.Header.Set("X-Dotterellink-Deadline-Ms", "1500")
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return answer.StatusCode, string(body)
+}
+
+func (i *instance) status(path string) func() int {
+	return func() int {
+		code, _ := i.call(path)
+		return code
+	}
+}
+
+func (i *instance) ready() int {
+	answer, err := http.Get("http://" + i.settings.Listen.Ready + platform.ReadyPath)
+	if err != nil {
+		return 0
+	}
+	answer.Body.Close()
+	return answer.StatusCode
+}
+
+const document = `{"Version":%d,"Routes":[{"Name":"r","Hostname":"h.example","PathPrefix":"/%s/","Kind":"idempotent","TimeoutMs":1000,"Service":"s","MaxAttempts":2}],
+ "Services":[{"Name":"s","MaxConns":100}],"Limits":{"MaxBodyBytes":1000}}`
+
+var _ = Describe("Gateway", func() {
+	var store *platformstandin.Store
+	var seeds []string
+	var served [2]atomic.Int32
+	ctx := context.Background()
+
+	// start runs an instance until the spec ends.
+	start := func(name, zone string) *instance {
+		s := gateway.DefaultSettings()
+		s.Name, s.Zone, s.Store, s.Seeds = name, zone, "127.0.0.1:1", seeds
+		s.Listen = gateway.ListenSettings{Callers: freeAddress(), Ready: freeAddress(), Mesh: freeAddress()}
+		s.Drain.GraceSeconds = 3
+		g, err := gateway.New(s, gateway.Dependencies{
+			Objects: store, Source: platform.Source(), Dialect: platform.Dialect{}, Operator: platform.NewOperator(),
+			ReadyPath: platform.ReadyPath, Tracing: telemetry.NoTracing(),
+		}, telemetry.Discard(), prometheus.NewRegistry())
+		Expect(err).NotTo(HaveOccurred())
+		runCtx, cancel := context.WithCancel(ctx)
+		i := &instance{settings: s, stop: cancel, done: make(chan error, 1)}
+		go func() { i.done <- g.Run(runCtx) }()
+		DeferCleanup(func() {
+			cancel()
+			Eventually(i.done, 10*time.Second).Should(Receive())
+		})
+		seeds = append(seeds, s.Listen.Mesh)
+		return i
+	}
+	write := func(key, value string) {
+		var version port.Version
+		if o, err := store.Get(ctx, key); err == nil {
+			version = o.Version
+		}
+		_, err := store.Put(ctx, key, []byte(value), version)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	announce := func(id, state, address string) {
+		write("servers/"+id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":"z1","Slots":6,"State":%q,"born":1}`, address, state))
+	}
+
+	BeforeEach(func() {
+		store = platformstandin.NewStore(clockwork.NewRealClock(), 1)
+		seeds = nil
+		for i := range served {
+			served[i].Store(0)
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				served[i].Add(1)
+				w.Header().Set("X-Dotterellink-Attempt-Id", r.Header.Get("X-Dotterellink-Attempt-Id"))
+				w.Header().Set("X-Dotterellink-Server-Seal", "seal")
+				fmt.Fprint(w, "answer")
+			}))
+			DeferCleanup(target.Close)
+			announce(fmt.Sprint("i-", i), "ready", strings.TrimPrefix(target.URL, "http://"))
+		}
+		write("config/main", fmt.Sprintf(document, 1, "a"))
+	})
+
+	It("serves, and puts a new configuration in force at all instances within two seconds", func() {
+		all := []*instance{start("i1", "z1"), start("i2", "z1"), start("i3", "z2")}
+		for _, i := range all {
+			Eventually(i.status("/a/x"), 3*time.Second).Should(Equal(http.StatusOK))
+			Expect(i.ready()).To(Equal(http.StatusOK))
+		}
+		write("config/main", fmt.Sprintf(document, 2, "b"))
+		for _, i := range all {
+			Eventually(i.status("/b/x"), 2*time.Second).Should(Equal(http.StatusOK))
+			Expect(i.status("/a/x")()).To(Equal(http.StatusNotFound))
+		}
+	})
+
+	It("leaves a draining target alone within two seconds", func() {
+		i := start("i1", "z1")
+		Eventually(i.status("/a/x"), 3*time.Second).Should(Equal(http.StatusOK))
+		announce("i-0", "draining", "127.0.0.1:1")
+		time.Sleep(1500 * time.Millisecond)
+		before := served[0].Load()
+		for range 10 {
+			Expect(i.status("/a/x")()).To(Equal(http.StatusOK))
+		}
+		Expect(served[0].Load()).To(Equal(before))
+	})
+
+	It("goes on with the last state while the store is away, and a fresh instance takes it from a peer", func() {
+		first := start("i1", "z1")
+		Eventually(first.status("/a/x"), 3*time.Second).Should(Equal(http.StatusOK))
+		store.SetFaults(platformstandin.Faults{Outage: true})
+		second := start("i2", "z2")
+		Expect(second.ready()).NotTo(Equal(http.StatusOK))
+		Eventually(second.status("/a/x"), 5*time.Second).Should(Equal(http.StatusOK))
+		Expect(first.status("/a/x")()).To(Equal(http.StatusOK))
+		Eventually(second.ready).Should(Equal(http.StatusOK))
+	})
+
+	It("keeps the last good configuration when a new one cannot be read", func() {
+		i := start("i1", "z1")
+		Eventually(i.status("/a/x"), 3*time.Second).Should(Equal(http.StatusOK))
+		write("config/main", `{"Version":"two"}`)
+		write("servers/i-9", `{"broken":`)
+		time.Sleep(1200 * time.Millisecond)
+		Expect(i.status("/a/x")()).To(Equal(http.StatusOK))
+	})
+
+	It("gives the targets of an evacuated zone no work, until it is taken back", func() {
+		i := start("i1", "z2")
+		Eventually(i.status("/a/x"), 3*time.Second).Should(Equal(http.StatusOK))
+		write("evacuations/z1", `{}`)
+		Eventually(i.status("/a/x"), 5*time.Second).Should(Equal(http.StatusServiceUnavailable))
+		o, err := store.Get(ctx, "evacuations/z1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.Delete(ctx, "evacuations/z1", o.Version)).To(Succeed())
+		Eventually(i.status("/a/x"), 5*time.Second).Should(Equal(http.StatusOK))
+	})
+
+	It("is not ready at once when told to stop, and ends in time", func() {
+		i := start("i1", "z1")
+		Eventually(i.status("/a/x"), 3*time.Second).Should(Equal(http.StatusOK))
+		i.stop()
+		Eventually(i.ready, 300*time.Millisecond).ShouldNot(Equal(http.StatusOK))
+		Eventually(i.done, 4*time.Second).Should(Receive(BeNil()))
+		i.done <- nil
+	})
+})
+
+var _ = Describe("ParseSettings", func() {
+	const good = `{ // comment
+	 "name":"i1","zone":"z1","store":"10.0.0.1:80","listen":{"callers":"10.0.0.1:1","ready":"10.0.0.1:2","mesh":"10.0.0.1:3"}}`
+
+	It("reads JSON with comments over defaults", func() {
+		s, err := gateway.ParseSettings("f", []byte(good))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Drain.GraceSeconds).To(BeNumerically(">", 0))
+	})
+
+	DescribeTable("refuses what cannot be used, and names it",
+		func(from, to, named string) {
+			_, err := gateway.ParseSettings("f", []byte(strings.Replace(good, from, to, 1)))
+			Expect(err).To(MatchError(ContainSubstring(named)))
+		},
+		Entry("unknown field", `"zone"`, `"zoon":1,"zone"`, "zoon"),
+		Entry("address", `"10.0.0.1:80"`, `"nowhere"`, "store"),
+		Entry("type", `"i1"`, `1`, "name"),
+		Entry("missing", `"zone":"z1",`, ``, "zone"),
+	)
+})
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,99 @@
+package peers_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dotterellink/dotterellink/internal/mesh"
+	"github.com/dotterellink/dotterellink/internal/peers"
+	"github.com/dotterellink/dotterellink/internal/telemetry"
+)
+
+// member is one instance on loopback.
+type member struct {
+	exchange *peers.Exchange
+	stop     context.CancelFunc
+	mu       sync.Mutex
+	heard    map[string]int64
+	address  string
+}
+
+func newMember(name, zone string, version int64) *member {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	node := mesh.NewNode(mesh.Peer{Name: name, Zone: zone}, nil, telemetry.Discard())
+	m := &member{heard: make(map[string]int64), address: l.Addr().String()}
+	m.exchange = peers.NewExchange(node, m.address, name+"-run", telemetry.Discard())
+	m.exchange.Fill = func(s *peers.Status, _ bool) { s.StateVersion = version }
+	m.exchange.Take = func(from peers.Peer, s *peers.Status, _ bool) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.heard[from.Name] = s.StateVersion
+	}
+	m.exchange.Gone = func(peers.Peer) {}
+	m.exchange.Changed = func() bool { return false }
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	DeferCleanup(cancel)
+	go node.Run(ctx, l)    //nolint:errcheck // Ends with the context.
+	go m.exchange.Run(ctx) //nolint:errcheck // Ends with the context.
+	return m
+}
+
+func (m *member) names() []string { return m.exchange.Names() }
+
+func (m *member) version(name string) func() int64 {
+	return func() int64 {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.heard[name]
+	}
+}
+
+var _ = Describe("Exchange", func() {
+	It("makes peers known to one another from one seed, and tells their status", func() {
+		a, b, c := newMember("a", "z1", 1), newMember("b", "z1", 2), newMember("c", "z2", 3)
+		time.Sleep(50 * time.Millisecond)
+		b.exchange.Seed([]string{a.address})
+		c.exchange.Seed([]string{a.address})
+		Eventually(a.names, 3*time.Second).Should(Equal([]string{"a", "b", "c"}))
+		c.exchange.Learn(context.Background())
+		Eventually(c.names, 3*time.Second).Should(Equal([]string{"a", "b", "c"}))
+		Eventually(b.version("c"), 3*time.Second).Should(Equal(int64(3)))
+		Eventually(a.version("b"), 3*time.Second).Should(Equal(int64(2)))
+		place, own := c.exchange.Candidates("z1")
+		Expect(own).To(BeFalse())
+		Expect(place).To(Equal(2))
+		place, own = b.exchange.Candidates("z1")
+		Expect(own).To(BeTrue())
+		Expect(place).To(Equal(1))
+	})
+
+	It("notices within two seconds that a zone is no longer heard, and keeps its instances in the list", func() {
+		a, b := newMember("a", "z1", 1), newMember("b", "z2", 2)
+		time.Sleep(50 * time.Millisecond)
+		b.exchange.Seed([]string{a.address})
+		Eventually(a.version("b"), 3*time.Second).Should(Equal(int64(2)))
+		b.stop()
+		Eventually(func() bool { a.exchange.LookForCuts(); return a.exchange.ZoneCut("z2") }, 2*time.Second).Should(BeTrue())
+		Expect(a.names()).To(Equal([]string{"a", "b"}), "a silent peer may spend and hold leases")
+		known, heard := a.exchange.Spenders()
+		Expect([]int{known, heard}).To(Equal([]int{2, 1}))
+	})
+
+	It("drops a peer from the list that said it leaves, once it is gone", func() {
+		a, b := newMember("a", "z1", 1), newMember("b", "z1", 2)
+		time.Sleep(50 * time.Millisecond)
+		b.exchange.Seed([]string{a.address})
+		Eventually(a.version("b"), 3*time.Second).Should(Equal(int64(2)))
+		b.exchange.Leave()
+		time.Sleep(600 * time.Millisecond)
+		b.stop()
+		Eventually(a.names, 5*time.Second).Should(Equal([]string{"a"}))
+	})
+})
