--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -87,12 +87,13 @@
 			if tick%tellEvery != i%tellEvery {
 				continue
 			}
+			told := node.quota.Spent(tick%(50*tellEvery) == i%tellEvery)
 			for j, peer := range s.nodes {
 				if j == i || s.cut != nil && s.cut(i, j, at) {
 					continue
 				}
 				peer.quota.Track("a", s.limit, now)
-				peer.quota.PeerSpent(node.run, node.quota.Spent(), now)
+				peer.quota.PeerSpent(node.run, told, now)
 				heard[j][i] = at
 			}
 		}
--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -58,8 +58,9 @@
 	rate       float64
 	ratedAt    time.Time
 	ratedSpent float64
-	// spent counts all units that this instance spent.
-	spent float64
+	// spent counts all units that this instance spent, toldSpent those that were
+	// told to peers.
+	spent, toldSpent float64
 	// peers holds the newest word of each run of a peer.
 	peers map[string]peerSpending
 }
@@ -307,14 +308,16 @@
 	Units   float64 `msgpack:"u"`
 }
 
-// Spent returns the counts of this instance.
-func (q *Quota) Spent() []Spending {
+// Spent returns the counts of this instance that changed since the last call, or
+// all.
+func (q *Quota) Spent(all bool) []Spending {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var out []Spending
 	for name, b := range q.accounts {
-		if b.spent > 0 {
+		if all && b.spent > 0 || b.spent != b.toldSpent {
 			out = append(out, Spending{name, b.spent})
+			b.toldSpent = b.spent
 		}
 	}
 	return out
@@ -347,9 +350,17 @@
 	defer q.mu.Unlock()
 	_, met := q.runs[run]
 	q.runs[run] = now
+	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		if b := q.accounts[s.Account]; b != nil {
 			b.level -= b.told(run, met, s.Units, now)
+			listed[s.Account] = true
+		}
+	}
+	// What is not listed has not changed.
+	for name, b := range q.accounts {
+		if p, known := b.peers[run]; known && !listed[name] {
+			b.level -= b.told(run, true, p.units, now)
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,8 @@
 	demand   *residency.Demand
 	server   *passthrough.Server
 	ready    readiness
+	// countsAt is when all counts were last told.
+	countsAt time.Time
 	// asking is set while a peer is asked for its state.
 	asking atomic.Bool
 
@@ -271,15 +273,16 @@
 		if !pause(ctx, memberListEvery) {
 			return ctx.Err()
 		}
-		g.listMembers(ctx)
+		g.exchange.Learn(ctx)
 	}
 }
 
 const (
 	// memberPrefix holds one object for each instance.
 	memberPrefix = "members/"
-	// memberListEvery is the time between looks at the list of instances. New
-	// ones make themselves known; this finds those that nobody reached.
+	// memberListEvery is the time between questions to a peer for the instances
+	// that it knows. New ones make themselves known; this finds those that did not
+	// reach all.
 	memberListEvery = 20 * time.Second
 )
 
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -24,8 +24,9 @@
 	s.StoreLost = g.followed.storeIsLost()
 	s.Loads, s.Read = g.board.Drain(full, time.Now())
 	g.noteAdapters(s.Read)
-	s.Spent = g.quota.Spent()
-	s.Demand = g.demand.Told()
+	counts := g.countsDue()
+	s.Spent = g.quota.Spent(counts)
+	s.Demand = g.demand.Told(counts)
 	s.Held, s.Ended = g.leases.Told()
 	if len(s.Held) > 0 {
 		s.Placed = g.keeper.Told(full)
@@ -51,6 +52,20 @@
 	}
 }
 
+// countsEvery is the time between statuses that tell all counts, for those that
+// missed one or are new; between them only those that changed are told.
+const countsEvery = 4 * time.Second
+
+// countsDue reports whether all counts are told. Only fill calls it.
+func (g *Gateway) countsDue() bool {
+	now := time.Now()
+	if now.Sub(g.countsAt) < countsEvery {
+		return false
+	}
+	g.countsAt = now
+	return true
+}
+
 // noteAdapters tells the keeper which adapters calls use.
 func (g *Gateway) noteAdapters(read []dispatch.PartsRead) {
 	for _, r := range read {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -285,9 +286,12 @@
 	e.node.SetPeers(all)
 }
 
-// Learn asks the connected peers for those that they know.
+// Learn asks connected peers, in random order, for those that they know, until one
+// answers.
 func (e *Exchange) Learn(ctx context.Context) {
-	for _, p := range e.node.Peers() {
+	connected := e.node.Peers()
+	rand.Shuffle(len(connected), func(i, j int) { connected[i], connected[j] = connected[j], connected[i] })
+	for _, p := range connected {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		answer, err := mesh.Call[listRequest, listAnswer](callCtx, e.node, p.Name, methodList, &listRequest{})
 		cancel()
@@ -296,6 +300,7 @@
 			continue
 		}
 		e.Add(answer.Peers)
+		return
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -66,6 +66,10 @@
 		Eventually(c.names, 3*time.Second).Should(Equal([]string{"a", "b", "c"}))
 		Eventually(b.version("c"), 3*time.Second).Should(Equal(int64(3)))
 		Eventually(a.version("b"), 3*time.Second).Should(Equal(int64(2)))
+		for _, m := range []*member{b, c} {
+			Eventually(m.version("a"), 3*time.Second).Should(Equal(int64(1)))
+		}
+		Eventually(c.version("b"), 3*time.Second).Should(Equal(int64(2)))
 		place, own := c.exchange.Candidates("z1")
 		Expect(own).To(BeFalse())
 		Expect(place).To(Equal(2))
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -37,7 +37,8 @@
 	rate     map[modelKey]float64
 	foldedAt time.Time
 	wanted   map[modelKey]time.Time
-	changed  bool
+	// untold are the own counts that changed since they were last told.
+	untold map[modelKey]bool
 }
 
 // NewDemand returns no demand.
@@ -45,6 +46,7 @@
 	return &Demand{
 		own: make(map[modelKey]demandCount), peers: make(map[string]map[modelKey]demandCount),
 		fresh: make(map[modelKey]float64), rate: make(map[modelKey]float64), wanted: make(map[modelKey]time.Time),
+		untold: make(map[modelKey]bool),
 	}
 }
 
@@ -61,16 +63,20 @@
 		d.wanted[key] = now
 	}
 	d.own[key] = c
-	d.changed = true
+	d.untold[key] = true
 }
 
-// Told returns the counts of this instance.
-func (d *Demand) Told() []peers.ModelDemand {
+// Told returns the counts of this instance that changed since the last call, or
+// all.
+func (d *Demand) Told(all bool) []peers.ModelDemand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.changed = false
 	var out []peers.ModelDemand
 	for key, c := range d.own {
+		if !all && !d.untold[key] {
+			continue
+		}
+		delete(d.untold, key)
 		out = append(out, peers.ModelDemand{Service: key.service, Model: key.model, WorkMS: c.work, Unserved: c.unserved})
 	}
 	return out
--- a/internal/residency/keeper_test.go
+++ b/internal/residency/keeper_test.go
@@ -273,12 +273,12 @@
 		peer := NewDemand()
 		// The first word of a run tells of times before.
 		peer.Add("s", "m", 500*time.Second, false, now)
-		d.Heard("run", peer.Told(), now)
+		d.Heard("run", peer.Told(true), now)
 		for range 40 {
 			now = now.Add(250 * time.Millisecond)
 			peer.Add("s", "m", 125*time.Millisecond, false, now)
-			d.Heard("run", peer.Told(), now)
-			d.Heard("run", peer.Told(), now)
+			d.Heard("run", peer.Told(true), now)
+			d.Heard("run", peer.Told(true), now)
 			d.Fold(now)
 		}
 		rates, _ := d.Rates("s", now)
