A target that takes no connection is tried if no other is there; watches are paced

A broken connection also made a target count as possibly cold, which left it to 7 of 80 instances. Ruled out: cold bounds and connection caps (none of the refused had a limited candidate). Change: down is a cost, not an exclusion, and less by a peer's word; only a zone taken back is suspected of cold starts; a watch follows the one before after 200 ms at the earliest; candidates behind the first read leases later.

--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -73,11 +73,13 @@
 	cache     *cached
 	downUntil time.Time
 	downFor   time.Duration
+	// peersDownUntil is the same by the word of peers.
+	peersDownUntil time.Time
 	// absent notes models and adapters that the target lacked when last called.
 	absent map[string]time.Time
-	// restartedAt is when the target may have restarted without a word.
-	restartedAt time.Time
-	usedAt      time.Time
+	// coldFrom is when the target may have turned cold without a word.
+	coldFrom time.Time
+	usedAt   time.Time
 }
 
 type peerLoad struct {
@@ -250,16 +252,12 @@
 	case Served:
 		s.failures.observe(now, 0, 0, failureWeight, failureHalfLife)
 		s.downFor, s.downUntil = 0, time.Time{}
-	case Failed:
-		s.failures.observe(now, 1, 0, failureWeight, failureHalfLife)
-		s.restartedAt = now
-	case Rejected:
+	case Failed, Rejected:
 		s.failures.observe(now, 1, 0, failureWeight, failureHalfLife)
 	case Unreachable:
 		s.failures.observe(now, 1, 0, failureWeight, failureHalfLife)
 		s.downFor = min(max(2*s.downFor, downFirst), downMax)
 		s.downUntil = now.Add(s.downFor)
-		s.restartedAt = now
 		s.cache = newCached()
 	case Absent:
 		s.absent[w.Model+"/"+w.Adapter] = now
@@ -318,8 +316,8 @@
 		} else {
 			s.peers[peer] = peerLoad{Load{l.Running, time.Duration(l.WaitingUS) * time.Microsecond, l.Tokens}, now}
 		}
-		if l.Down && now.After(s.downUntil) {
-			s.downUntil, s.restartedAt = now.Add(downFirst), now
+		if l.Down {
+			s.peersDownUntil = now.Add(downFirst)
 		}
 	}
 	for _, r := range read {
@@ -356,11 +354,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(id)
-	s.cache, s.restartedAt = newCached(), now
+	s.cache = newCached()
 	s.downFor, s.downUntil = 0, time.Time{}
 	clear(s.absent)
 }
 
+// SuspectCold notes that a target may have turned cold without a word. A broken
+// connection is no ground: a target that restarts holds no model, so that it runs
+// nothing before it has announced itself and its cold start.
+func (b *Board) SuspectCold(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(id).coldFrom = now
+}
+
 // Forget drops targets that are no longer listed and have no calls.
 func (b *Board) Forget(listed func(id string) bool, now time.Time) {
 	b.mu.Lock()
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -13,6 +13,11 @@
 	// cutZoneCost speaks against targets of a zone of which nothing is heard: a
 	// call there is likely to be lost.
 	cutZoneCost = 400 * time.Millisecond
+	// downCost and peersDownCost speak against targets that took no connection, of
+	// this instance or of a peer. They are tried if no other is there: a target also
+	// resets connections while its queue is long, and a peer may be the one cut off.
+	downCost      = 5 * time.Second
+	peersDownCost = 300 * time.Millisecond
 	// failureCost is the expected time lost by one failure: a caller's retry
 	// waits and starts from the beginning.
 	failureCost = 2 * time.Second
@@ -89,7 +94,7 @@
 			continue
 		}
 		s := b.state(c.Target.ID)
-		if q.Now.Before(s.downUntil) || s.lacks(q) {
+		if s.lacks(q) {
 			continue
 		}
 		p := b.score(c, s, q)
@@ -119,6 +124,11 @@
 		p.scoreFull(q)
 	}
 	p.Score += p.Expected + time.Duration(s.failures.read(q.Now, 0, failureHalfLife)*float64(failureCost))
+	if q.Now.Before(s.downUntil) {
+		p.Score += downCost
+	} else if q.Now.Before(s.peersDownUntil) {
+		p.Score += peersDownCost
+	}
 	if c.Target.Zone != q.Zone {
 		p.Score += crossZoneCost
 	}
@@ -168,13 +178,13 @@
 	}
 }
 
-// MayHaveRestarted returns when the target may have restarted without a word;
+// MayBeColdSince returns when the target may have turned cold without a word;
 // zero if never.
-func (b *Board) MayHaveRestarted(id string) time.Time {
+func (b *Board) MayBeColdSince(id string) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.targets[id]; s != nil {
-		return s.restartedAt
+		return s.coldFrom
 	}
 	return time.Time{}
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -23,6 +23,9 @@
 	overdueAfter = 400 * time.Millisecond
 	// checkEvery is the time between looks at whether word is overdue.
 	checkEvery = 100 * time.Millisecond
+	// watchEvery is the least time between two watches: changes that come in quick
+	// succession are taken together. Each call of the store is priced.
+	watchEvery = 200 * time.Millisecond
 	// firstRetry and maxRetry bound the time between calls to a store that fails.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 800 * time.Millisecond
@@ -261,6 +264,7 @@
 			hurried <- false
 		}
 	}()
+	started := f.now()
 	changes, version, err := f.Objects.Changes(waitCtx, f.Prefix, platform.Version(from), f.Wait)
 	cancel()
 	if <-hurried && err != nil && ctx.Err() == nil {
@@ -270,9 +274,10 @@
 		return err
 	}
 	f.apply.Lock()
-	defer f.apply.Unlock()
 	f.take(changes, false, uint64(version))
 	f.relay(changes, false, from, uint64(version))
+	f.apply.Unlock()
+	pause(ctx, watchEvery-f.now().Sub(started))
 	return nil
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -250,7 +250,7 @@
 	s.log.WithField("zone", zone).Info("gateway: Zone taken back.")
 	for id, t := range s.fleet.View().Targets {
 		if t.Zone == zone {
-			s.board.Restarted(id, now)
+			s.board.SuspectCold(id, now)
 		}
 	}
 }
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -16,9 +16,9 @@
 	// connectionShare is the part of a target's connections that all instances
 	// together use; health checks and orders need some.
 	connectionShare = 0.9
-	// restartSuspicion is how long after a broken connection a target may be one
-	// that restarted and is cold, beyond its cold start.
-	restartSuspicion = time.Second
+	// coldSuspicion is added to the cold start of a target that may have turned
+	// cold without a word.
+	coldSuspicion = time.Second
 )
 
 // maxPicks bounds the decisions for one attempt: another call may take the last
@@ -64,6 +64,7 @@
 	now := f.Now()
 	pick, ok := f.Board.Pick(candidates, f.query(service, now))
 	if !ok {
+		f.logNoneFree(candidates)
 		f.giveUp("no_target_free", max(wait, noTargetRetry))
 		return dispatch.Pick{}, false
 	}
@@ -139,7 +140,7 @@
 }
 
 // isCold reports whether a target may be in its cold start: as announced, or
-// because it broke a connection and may have restarted since.
+// because its zone was taken back.
 func (f *flight) isCold(t *fleet.Target, service *catalog.Service, now time.Time) bool {
 	if service.ColdRate <= 0 {
 		return false
@@ -147,8 +148,8 @@
 	if now.Before(t.ColdUntil()) {
 		return true
 	}
-	broke := f.Board.MayHaveRestarted(t.ID)
-	return !broke.IsZero() && now.Sub(broke) < service.ColdStart+restartSuspicion
+	since := f.Board.MayBeColdSince(t.ID)
+	return !since.IsZero() && now.Sub(since) < service.ColdStart+coldSuspicion
 }
 
 // noTarget answers a call for which no target holds the model, or none is there.
@@ -163,6 +164,24 @@
 	f.giveUp("no_target", retry)
 }
 
+// logNoneFree tells why no candidate gets the call: limited by a cold start or its
+// connections, tried before, or else down or lacking the adapter.
+func (f *flight) logNoneFree(candidates []dispatch.Candidate) {
+	limited, tried := 0, 0
+	for _, c := range candidates {
+		switch {
+		case f.excluded[c.Target.ID]:
+			tried++
+		case c.Limited:
+			limited++
+		}
+	}
+	f.Log.WithFields(log.Fields{
+		"call": f.call.ID, "model": f.call.Model, "adapter": f.call.Adapter, "candidates": len(candidates),
+		"limited": limited, "tried": tried, "down": len(candidates) - limited - tried,
+	}).Info("passthrough: No target takes the call.")
+}
+
 func (f *flight) logHopeless(pick dispatch.Pick, now time.Time) {
 	f.Log.WithFields(log.Fields{
 		"call": f.call.ID, "best": pick.Target.ID, "expected_ms": pick.Expected.Milliseconds(),
--- a/internal/residency/holder.go
+++ b/internal/residency/holder.go
@@ -25,6 +25,9 @@
 	renewEvery    = 1200 * time.Millisecond
 	// readAgain is the time between reads of a lease that no peer tells of.
 	readAgain = time.Second
+	// firstReadAfter is how long a candidate behind the first waits for word of a
+	// holder before its first read of the lease.
+	firstReadAfter = 1500 * time.Millisecond
 	// writeAgain is the time between attempts to take the lease over.
 	writeAgain = 500 * time.Millisecond
 	// orderMargin is the rest of a lease that an order needs: the order must
@@ -54,6 +57,8 @@
 	mu     sync.Mutex
 	state  *lease.State
 	readAt time.Time
+	// startedAt is when the lease was first looked at.
+	startedAt time.Time
 	// orderableAt is when this holder may give its first order to a target of
 	// which nothing else is known; orderableTo is the same for targets that the
 	// holder before told of.
@@ -194,8 +199,13 @@
 		h.mu.Unlock()
 		return
 	}
-	due := !held && (h.readAt.IsZero() || now.Sub(h.readAt) >= readAgain)
 	rank := h.rank()
+	// Candidates behind the first wait for word of the holder before they read.
+	if h.startedAt.IsZero() {
+		h.startedAt = now
+	}
+	early := h.readAt.IsZero() && now.Sub(h.startedAt) < time.Duration(min(rank, 1))*firstReadAfter
+	due := !held && !early && (h.readAt.IsZero() || now.Sub(h.readAt) >= readAgain)
 	if held && rank < foreignRank {
 		// A holder in the zone keeps its lease, whatever its rank.
 		rank = 0
