--- a/cmd/dotterellinkd/gateway.go
+++ b/cmd/dotterellinkd/gateway.go
@@ -30,7 +30,7 @@
 	defer lines.Close()
 	go reloadOnSignal(ctx, o.Settings, logger)
 	g, err := gateway.New(s, gateway.Dependencies{
-		Objects: platform.NewStore(s.Store), Source: platform.Source(), Dialect: platform.Dialect{},
+		Objects: platform.NewStore(s.Store, registry), Source: platform.Source(), Dialect: platform.Dialect{},
 		Operator: platform.NewOperator(), ReadyPath: platform.ReadyPath, Tracing: telemetry.NoTracing(),
 	}, logger, registry)
 	if err != nil {
--- a/internal/residency/holder.go
+++ b/internal/residency/holder.go
@@ -28,7 +28,10 @@
 	// firstReadAfter is how long a candidate behind the first waits for word of a
 	// holder before its first read of the lease.
 	firstReadAfter = 1500 * time.Millisecond
-	// writeAgain is the time between attempts to take the lease over.
+	// settleAgain is the time between writes that settle a lost answer. A store that
+	// resets connections fails within a millisecond.
+	settleAgain = 150 * time.Millisecond
+	// writeAgain is the time between attempts to write the lease while they fail.
 	writeAgain = 500 * time.Millisecond
 	// orderMargin is the rest of a lease that an order needs: the order must
 	// arrive before the lease ends.
@@ -213,7 +216,7 @@
 	action := h.state.Next(now, rank)
 	h.mu.Unlock()
 	switch {
-	case action == lease.Acquire && h.failedLately(now):
+	case action != lease.Wait && h.failedLately(now):
 	case action == lease.Acquire || action == lease.Renew:
 		h.write(ctx, action)
 	case due:
@@ -294,7 +297,7 @@
 // put writes the record and learns the outcome of a write without an answer.
 func (h *Holding) put(ctx context.Context, value []byte, version uint64, record lease.Record) (platform.Object, error) {
 	object, err := h.objects.Put(ctx, leasePrefix+h.zone, value, platform.Version(version))
-	for errors.Is(err, platform.ErrOutcomeUnknown) && ctx.Err() == nil {
+	for errors.Is(err, platform.ErrOutcomeUnknown) && h.pause(ctx) {
 		object, err = h.objects.Put(ctx, leasePrefix+h.zone, value, platform.Version(version))
 		if !errors.Is(err, platform.ErrConflict) {
 			continue
@@ -311,6 +314,17 @@
 	return object, err
 }
 
+// pause waits between two writes of the same record, and reports whether there is
+// time for another.
+func (h *Holding) pause(ctx context.Context) bool {
+	select {
+	case <-time.After(settleAgain):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Release hands the lease over at a planned stop.
 func (h *Holding) Release(ctx context.Context) {
 	h.mu.Lock()
--- a/internal/residency/holder_test.go
+++ b/internal/residency/holder_test.go
@@ -121,6 +121,20 @@
 		Expect(held(a)).To(BeTrue())
 	})
 
+	It("asks a store that fails at once only a few times a second", func() {
+		a := holding("a", "a1", 0)
+		pass(2*time.Second, a)
+		store.SetFaults(platformstandin.Faults{LoseAnswerShare: 1})
+		before := store.Stats().Writes
+		start := time.Now()
+		for time.Since(start) < time.Second {
+			now = now.Add(2 * time.Second)
+			a.Tick(ctx)
+		}
+		rate := float64(store.Stats().Writes-before) / time.Since(start).Seconds()
+		Expect(rate).To(BeNumerically("<", 10), "writes a second")
+	})
+
 	It("does not take over from a holder of which peers tell", func() {
 		a, b := holding("a", "a1", 0), holding("b", "b1", 1)
 		pass(2*time.Second, a, b)
