--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -205,6 +205,14 @@
 		Expect(s.Drain.GraceSeconds).To(BeNumerically(">", 0))
 	})
 
+	It("holds defaults where a rendered file leaves bounds out, and takes trailing commas", func() {
+		s, err := gateway.ParseSettings("f", []byte(strings.TrimSuffix(good, "}")+`,"bounds":{"retry_slack":54,},}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Bounds.RetrySlack).To(Equal(54.0))
+		Expect(s.Bounds.RetryWindowSeconds).To(BeNumerically(">", 0))
+		Expect(s.Bounds.OrderGapMS).To(BeNumerically(">", 0))
+	})
+
 	DescribeTable("refuses what cannot be used, and names it",
 		func(from, to, named string) {
 			_, err := gateway.ParseSettings("f", []byte(strings.Replace(good, from, to, 1)))
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -76,7 +76,7 @@
 		Log:   LogSettings{Level: "info", LinesPerSecond: 400},
 		Drain: DrainSettings{GraceSeconds: 8},
 		Bounds: Bounds{
-			RetryRatio: 0.1, RetryWindowSeconds: 10, RetrySlack: 20,
+			RetryRatio: 0.1, RetryWindowSeconds: 10,
 			ColdOvershoot: 1, ColdSlack: 0, OrderGapMS: 3000,
 		},
 	}
