Quota: what instances spend beyond their parts shrinks as words get rare

Change: the factor follows the time between words; the rate is widened only by what is left once one unheard instance and the lag are covered.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -27,6 +27,8 @@
 	bounds  allowance.QuotaBounds
 	nodes   []*spender
 	perCall float64
+	// tellEvery is the number of steps between two words of an instance.
+	tellEvery int
 	// cut reports whether two instances hear each other at a time.
 	cut func(a, b int, at time.Duration) bool
 	// only, if set, is the number of instances that calls reach.
@@ -37,13 +39,12 @@
 }
 
 const (
-	step      = 10 * time.Millisecond
-	tellEvery = 10
-	heardFor  = allowance.SpendingHeardFor
+	step     = 10 * time.Millisecond
+	heardFor = allowance.SpendingHeardFor
 )
 
 func newSimulation(n int, bounds allowance.QuotaBounds, perCall float64) *simulation {
-	s := &simulation{limit: allowance.AccountLimit{Rate: 100_000, Burst: 100_000}, bounds: bounds, perCall: perCall}
+	s := &simulation{limit: allowance.AccountLimit{Rate: 100_000, Burst: 100_000}, bounds: bounds, perCall: perCall, tellEvery: 10}
 	for i := range n {
 		s.nodes = append(s.nodes, &spender{quota: allowance.NewQuota(bounds, start.Add(-time.Minute)), run: fmt.Sprint("run", i)})
 	}
@@ -74,7 +75,7 @@
 					count++
 				}
 			}
-			node.quota.SetShare(allowance.Share(count, len(s.nodes)), count, now)
+			node.quota.SetShare(allowance.Share(count, len(s.nodes)), count, time.Duration(s.tellEvery)*step, now)
 			if (s.only == 0 || i < s.only) && random.Float64() < demand*step.Seconds() {
 				s.asked++
 				s.refused++
@@ -84,10 +85,10 @@
 					s.spentAt[tick] += s.perCall
 				}
 			}
-			if tick%tellEvery != i%tellEvery {
+			if tick%s.tellEvery != i%s.tellEvery {
 				continue
 			}
-			told := node.quota.Spent(tick%(50*tellEvery) == i%tellEvery)
+			told := node.quota.Spent(tick%(50*s.tellEvery) == i%s.tellEvery)
 			for j, peer := range s.nodes {
 				if j == i || s.cut != nil && s.cut(i, j, at) {
 					continue
@@ -143,6 +144,14 @@
 		Expect(s.total()).To(BeNumerically(">", 25*100_000*0.85))
 	})
 
+	It("keeps an account that sends six times its rate within the bound over 80 instances whose words are rare", func() {
+		s := newSimulation(80, bounds, 9_000)
+		s.tellEvery = 52
+		s.run(20*time.Second, 6*100_000/9_000.0/80, 4)
+		Expect(s.most(8 * time.Second)).To(BeNumerically("<=", allowed))
+		Expect(s.total()).To(BeNumerically(">", 20*100_000*0.8))
+	})
+
 	It("keeps the bound for any number of instances, cuts and sizes of calls", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			n := rapid.IntRange(1, 12).Draw(t, "instances")
--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -27,7 +27,7 @@
 
 // slackKept is the part of the slack that covers the time between a call and the
 // word of it.
-const slackKept = 0.1
+const slackKept = 0.75
 
 // widen returns the limit that keeps within the bounds. What one instance may
 // spend before it misses the others is kept free.
@@ -35,10 +35,9 @@
 	if b.Window <= 0 {
 		return l
 	}
-	rate := l.Rate * (1 + b.Overshoot)
-	unheard := paceDepth*l.Burst + rate*SpendingHeardFor.Seconds()
-	spare := (1-slackKept)*b.Slack + b.Overshoot*l.Burst - unheard
-	return AccountLimit{Rate: rate + max(0, spare)/b.Window.Seconds(), Burst: l.Burst}
+	unheard := paceDepth*l.Burst + l.Rate*SpendingHeardFor.Seconds()
+	spare := (1-slackKept)*b.Slack + b.Overshoot*(l.Rate*b.Window.Seconds()+l.Burst) - unheard
+	return AccountLimit{Rate: l.Rate + max(0, spare)/b.Window.Seconds(), Burst: l.Burst}
 }
 
 // SpendingHeardFor is how long a peer counts as heard where both spend from the
@@ -142,6 +141,8 @@
 	accounts map[string]*bucket
 	// runs gives the time of the newest word of each run of a peer.
 	runs map[string]time.Time
+	// lag is the usual time between two words of a peer.
+	lag time.Duration
 	// heard is the number of instances that spend from this bucket.
 	heard int
 	// share is the part of each rate that this instance counts on: 1 while all
@@ -157,10 +158,11 @@
 // SetShare sets the part of each rate that may be spent by this instance and the
 // peers that it hears, 0 to 1, and their number. The others are taken to spend
 // the rest.
-func (q *Quota) SetShare(share float64, heard int, now time.Time) {
+// The lag is the usual time between two words of a peer.
+func (q *Quota) SetShare(share float64, heard int, lag time.Duration, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.heard = max(1, heard)
+	q.heard, q.lag = max(1, heard), lag
 	if share == q.share {
 		return
 	}
@@ -224,7 +226,7 @@
 		return time.Duration((need - left) / rate * float64(time.Second)), false
 	}
 	if q.heard > 1 {
-		if wait := b.paced(need, rate, q.heard, now); wait > 0 {
+		if wait := b.paced(need, rate, q.paceFactor(), q.heard, now); wait > 0 {
 			return wait, false
 		}
 		if reserve := min(reserveCalls*need, reserveShare*b.limit.Burst); left < reserve && q.random() > left/reserve {
@@ -244,16 +246,24 @@
 	// that falls with what is left.
 	reserveCalls = 3
 	reserveShare = 0.3
-	// paceFactor is how far the parts of the rate add up to more than the whole,
-	// and paceDepth the part of a burst that one instance may take at once.
+	// paceFactor is how far the parts of the rate add up to more than the whole
+	// while words come every wordInterval, and paceDepth the part of a burst that
+	// one instance may take at once.
 	paceFactor = 3
 	paceDepth  = 0.4
 )
 
+// paceFactor returns how far the parts of the rate add up to more than the whole:
+// what is beyond it is spent until the next word, so that it shrinks as words get
+// rare in a large fleet.
+func (q *Quota) paceFactor() float64 {
+	return 1 + (paceFactor-1)*min(1, wordInterval.Seconds()/max(q.lag, wordInterval).Seconds())
+}
+
 // paced returns the time until this instance may spend by its own part of the
 // rate, 0 if it may now. The part follows what it has spent beside its peers, so
 // that an account may send all its calls to one instance.
-func (b *bucket) paced(need, rate float64, heard int, now time.Time) time.Duration {
+func (b *bucket) paced(need, rate, factor float64, heard int, now time.Time) time.Duration {
 	depth := max(need, paceDepth*b.limit.Burst)
 	if b.pacedAt.IsZero() {
 		b.pace, b.pacedAt = depth, now
@@ -266,7 +276,7 @@
 		}
 	}
 	own := b.ownRate(now)
-	part := paceFactor * rate * (own + rate/float64(heard)) / (own + others + rate)
+	part := factor * rate * (own + rate/float64(heard)) / (own + others + rate)
 	if passed > 0 {
 		b.pace = min(b.pace+passed*part, depth)
 		b.pacedAt = now
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -377,7 +377,7 @@
 		g.board.Forget(listed, now)
 		g.view.Forget(listed)
 		known, heard := g.exchange.Spenders()
-		g.quota.SetShare(allowance.Share(heard, known), heard, now)
+		g.quota.SetShare(allowance.Share(heard, known), heard, g.exchange.Interval(), now)
 		g.trackAccounts(now)
 	}
 	return ctx.Err()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -428,8 +428,7 @@
 		case <-e.poke:
 		}
 		now := e.now()
-		interval := minInterval + perPeer*time.Duration(len(e.Names()))
-		if next := sentAt.Add(interval); now.Before(next) {
+		if next := sentAt.Add(e.Interval()); now.Before(next) {
 			timer.Reset(next.Sub(now))
 			continue
 		}
@@ -529,6 +528,11 @@
 	}
 }
 
+// Interval returns the least time between two statuses of an instance.
+func (e *Exchange) Interval() time.Duration {
+	return minInterval + perPeer*time.Duration(len(e.Names()))
+}
+
 // Spenders returns the number of instances that may be alive and the number of
 // those heard lately, self included in both.
 func (e *Exchange) Spenders() (known, heard int) {
