--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -264,9 +264,6 @@
 	}
 }
 
-// Elapsed returns the time since the call was sent.
-func (t *Ticket) Elapsed(now time.Time) time.Duration { return now.Sub(t.sentAt) }
-
 // TargetLoad is the own load of an instance at one target.
 type TargetLoad struct {
 	TargetID string `msgpack:"t"`
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -42,7 +42,7 @@
 // Candidate is a target that may get the call.
 type Candidate struct {
 	Target *fleet.Target
-	// Adapterless is set if the target holds the model but not the adapter yet.
+	// NeedsAdapter is set if the target holds the model but not the adapter yet.
 	NeedsAdapter bool
 	// Limited is set if the target must not get a call now, as its cold start
 	// allows none.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,7 +185,7 @@
 	defer stop()
 	callers := &http.Server{
 		Handler: g.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil, DisableGeneralOptionsHandler: true,
+		DisableGeneralOptionsHandler: true,
 	}
 	group, groupCtx := errgroup.WithContext(background)
 	group.Go(func() error { return serveHTTP(callers, g.callers) })
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -65,8 +65,11 @@
 
 // send sends the call to the target picked.
 func (f *flight) send(ctx context.Context, pick dispatch.Pick) (*upstream.Response, *dispatch.Ticket, error) {
+	ctx, span := f.Tracer.Start(ctx, "attempt")
+	defer span.End()
 	now := f.Now()
 	f.sends++
+	f.sentAt, f.expected = now, pick.Expected
 	f.excluded[pick.Target.ID] = true
 	ticket := f.Board.Begin(pick, f.work, now)
 	f.logSend(pick, now)
@@ -183,8 +186,7 @@
 	}
 	now := f.Now()
 	ticket.FirstAnswer(now)
-	f.firstAt = now
-	f.metrics.first.Observe(now.Sub(f.call.Arrived).Seconds())
+	f.noteFirst(now)
 	a := &answer{status: response.Status, header: response.Header, body: body}
 	if len(body) == maxBufferedAnswer {
 		return f.relayLong(ticket, response, a)
@@ -212,6 +214,16 @@
 		now.Before(f.ends) && f.Retries.Repeat(f.service, len(f.Members.Names()), now)
 }
 
+// noteFirst notes the time of the first event or answer, and how well it was
+// predicted.
+func (f *flight) noteFirst(now time.Time) {
+	f.firstAt = now
+	f.metrics.first.Observe(now.Sub(f.call.Arrived).Seconds())
+	if f.expected > 0 {
+		f.metrics.estimate.Observe(float64(now.Sub(f.sentAt)) / float64(f.expected))
+	}
+}
+
 // relayLong relays an answer that is too long to be kept.
 func (f *flight) relayLong(ticket *dispatch.Ticket, response *upstream.Response, a *answer) bool {
 	f.copyHead(a.status, a.header)
@@ -311,7 +323,6 @@
 
 func (f *flight) firstEvent(ticket *dispatch.Ticket, response *upstream.Response) {
 	now := f.Now()
-	f.firstAt = now
-	f.metrics.first.Observe(now.Sub(f.call.Arrived).Seconds())
+	f.noteFirst(now)
 	f.copyHead(response.Status, response.Header)
 }
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -60,6 +60,10 @@
 	// head of the answer was relayed.
 	lastEvent string
 	started   bool
+	// sentAt is when the newest attempt was sent, expected its predicted time to the
+	// first answer.
+	sentAt   time.Time
+	expected time.Duration
 	// firstAt is when the first event or answer came.
 	firstAt time.Time
 	// kept is an error answer of a target, delivered if no attempt does better.
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -45,7 +45,7 @@
 type Residency interface {
 	// Holds reports whether the target holds the model, and the adapter if it is
 	// not empty.
-	Holds(t *fleet.Target, model, adapter string) (model_, adapter_ bool)
+	Holds(t *fleet.Target, model, adapter string) (hasModel, hasAdapter bool)
 	// EnsureAdapter has an adapter loaded at the target or at a better one and
 	// returns the ID of the target that holds it.
 	EnsureAdapter(ctx context.Context, service, targetID, model, adapter string) (string, error)
@@ -126,7 +126,9 @@
 		s.refuse(w, c, http.StatusServiceUnavailable, "stopping", stoppingRetry)
 		return
 	}
-	f := &flight{Server: s, w: w, r: r, call: c}
+	ctx, span := s.Tracer.Start(r.Context(), "call")
+	defer span.End()
+	f := &flight{Server: s, w: w, r: r.WithContext(ctx), call: c}
 	f.serve()
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -17,8 +17,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/dotterellink/dotterellink/internal/allowance"
-	"github.com/dotterellink/dotterellink/internal/dispatch"
-	"github.com/dotterellink/dotterellink/internal/lease"
 	"github.com/dotterellink/dotterellink/internal/mesh"
 )
 
@@ -45,68 +43,6 @@
 	listTimeout = 500 * time.Millisecond
 )
 
-// Status is what an instance tells its peers.
-type Status struct {
-	// Run is unique to one run of the instance; Seq rises with each status.
-	Run     string `msgpack:"r"`
-	Seq     uint64 `msgpack:"s"`
-	Zone    string `msgpack:"z"`
-	Address string `msgpack:"a"`
-	Leaving bool   `msgpack:"l,omitempty"`
-	// StateVersion is the version of the state in force.
-	StateVersion int64 `msgpack:"v"`
-	// StoreLost is set while the store does not answer the instance.
-	StoreLost bool `msgpack:"sl,omitempty"`
-
-	Loads  []dispatch.TargetLoad `msgpack:"ld,omitempty"`
-	Read   []dispatch.PartsRead  `msgpack:"rd,omitempty"`
-	Spent  []allowance.Spending  `msgpack:"sp,omitempty"`
-	Demand []ModelDemand         `msgpack:"dm,omitempty"`
-	Held   []HeldLease           `msgpack:"hl,omitempty"`
-	Ended  []EndedLease          `msgpack:"el,omitempty"`
-	Placed []Placed              `msgpack:"pl,omitempty"`
-}
-
-// ModelDemand is the work for a model that an instance has seen since its start.
-type ModelDemand struct {
-	Service string `msgpack:"s"`
-	Model   string `msgpack:"m"`
-	// WorkMS is the engine time of the work; Unserved counts calls for which no
-	// target held the model.
-	WorkMS   float64 `msgpack:"w"`
-	Unserved uint64  `msgpack:"u,omitempty"`
-}
-
-// EndedLease is what a holder tells once it has lost the placement lease.
-type EndedLease struct {
-	Zone  string `msgpack:"z"`
-	Token uint64 `msgpack:"k"`
-	// OrderedAgoMS is the age of the last order to each target, in milliseconds.
-	// Targets that are not named got none lately.
-	OrderedAgoMS map[string]int64 `msgpack:"o"`
-}
-
-// HeldLease is the placement lease of a zone as its holder last wrote it.
-type HeldLease struct {
-	Zone    string       `msgpack:"z"`
-	Record  lease.Record `msgpack:"r"`
-	Version uint64       `msgpack:"v"`
-}
-
-// Placed tells what a target holds and is about to drop, as the holder of the
-// placement lease knows it.
-type Placed struct {
-	TargetID string `msgpack:"t"`
-	BornMS   int64  `msgpack:"b"`
-	// Adapters are MODEL/ADAPTER.
-	Adapters []string `msgpack:"a,omitempty"`
-	// Leaving are models that get no new work.
-	Leaving []string `msgpack:"l,omitempty"`
-	// Coming are models that are being loaded, with the time left at the sender
-	// in milliseconds.
-	Coming map[string]int64 `msgpack:"c,omitempty"`
-}
-
 // Peer is an instance as this one knows it.
 type Peer struct {
 	Name    string
--- a/internal/residency/view.go
+++ b/internal/residency/view.go
@@ -116,15 +116,6 @@
 	return out
 }
 
-// Lost notes that a target turned out not to hold an adapter.
-func (v *View) Lost(targetID, adapter string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if p := v.targets[targetID]; p != nil {
-		delete(p.adapters, adapter)
-	}
-}
-
 // ExpectedLoad returns the time until one of the targets holds the model, or
 // false if no load of it is under way.
 func (v *View) ExpectedLoad(targets []*fleet.Target, model string) (time.Duration, bool) {
