Remove code without a caller; one check of addresses in settings

Cause: reading the change again: hooks on the table of targets and on the state, and a getter of the quota's share, that nothing calls; the gateway's settings had a copy of the check for IP:PORT. Change: removed; the gateway calls settings.IsAddress. Behaviour is the same.

--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -176,13 +176,6 @@
 	q.share = share
 }
 
-// Share returns the part of each rate in use.
-func (q *Quota) Share() float64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.share
-}
-
 // bucket requires q.mu.
 func (q *Quota) bucket(account string, limit AccountLimit, now time.Time) *bucket {
 	b := q.accounts[account]
--- a/internal/catalog/holder.go
+++ b/internal/catalog/holder.go
@@ -13,11 +13,10 @@
 	mu sync.Mutex
 	// confirmed is when a source last showed that this version is the newest.
 	confirmed time.Time
-	changed   chan struct{}
 }
 
 // NewHolder returns a holder without a state.
-func NewHolder() *Holder { return &Holder{changed: make(chan struct{})} }
+func NewHolder() *Holder { return &Holder{} }
 
 // Current returns the state in force, or nil before the first.
 func (h *Holder) Current() *State { return h.current.Load() }
@@ -36,8 +35,6 @@
 	}
 	h.current.Store(s)
 	h.confirmed = at
-	close(h.changed)
-	h.changed = make(chan struct{})
 	return true
 }
 
@@ -56,10 +53,3 @@
 	defer h.mu.Unlock()
 	return now.Sub(h.confirmed)
 }
-
-// Changed returns a channel that closes at the next change.
-func (h *Holder) Changed() <-chan struct{} {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.changed
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -102,7 +102,6 @@
 	// last succeeded again.
 	storeLost   bool
 	storeBackAt time.Time
-	onChange    []func()
 }
 
 // NewTable returns an empty table.
@@ -251,13 +250,6 @@
 	t.publish()
 }
 
-// OnChange adds a function that runs after each change, with the table locked.
-func (t *Table) OnChange(f func()) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.onChange = append(t.onChange, f)
-}
-
 // publish requires t.mu.
 func (t *Table) publish() {
 	v := &View{
@@ -289,9 +281,6 @@
 		}
 	}
 	t.view.Store(v)
-	for _, f := range t.onChange {
-		f()
-	}
 }
 
 // Report is a target's answer to a question for its state. It lags by some
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"os"
 	"time"
 
@@ -112,11 +111,11 @@
 	}
 	check(s.Name != "", "name: must not be empty")
 	check(s.Zone != "", "zone: must not be empty")
-	check(isAddress(s.Listen.Callers), "listen.callers: must be IP:PORT")
-	check(isAddress(s.Listen.Ready), "listen.ready: must be IP:PORT")
-	check(isAddress(s.Listen.Mesh), "listen.mesh: must be IP:PORT")
-	check(s.Listen.Metrics == "" || isAddress(s.Listen.Metrics), "listen.metrics: must be IP:PORT")
-	check(isAddress(s.Store), "store: must be IP:PORT")
+	check(settings.IsAddress(s.Listen.Callers), "listen.callers: must be IP:PORT")
+	check(settings.IsAddress(s.Listen.Ready), "listen.ready: must be IP:PORT")
+	check(settings.IsAddress(s.Listen.Mesh), "listen.mesh: must be IP:PORT")
+	check(s.Listen.Metrics == "" || settings.IsAddress(s.Listen.Metrics), "listen.metrics: must be IP:PORT")
+	check(settings.IsAddress(s.Store), "store: must be IP:PORT")
 	check(s.Log.LinesPerSecond > 0, "log.lines_per_second: must be above 0")
 	check(s.Drain.GraceSeconds > 0, "drain.grace_seconds: must be above 0")
 	check(s.Bounds.RetryRatio >= 0, "bounds.retry_ratio: must not be negative")
@@ -131,9 +130,4 @@
 	return out
 }
 
-func isAddress(s string) bool {
-	host, port, err := net.SplitHostPort(s)
-	return err == nil && net.ParseIP(host) != nil && port != ""
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -198,9 +198,9 @@
 	check(namePattern.MatchString(s.Name), "name", "must be lower-case letters, digits, dots and hyphens")
 	check(namePattern.MatchString(s.Zone), "zone", "must be lower-case letters, digits, dots and hyphens")
 	check(namePattern.MatchString(s.Environment), "environment", "must be lower-case letters, digits, dots and hyphens")
-	check(isAddress(s.Listen.Callers), "listen.callers", "must be IP:PORT")
-	check(isAddress(s.Listen.Operators), "listen.operators", "must be IP:PORT")
-	check(isAddress(s.Listen.Mesh), "listen.mesh", "must be IP:PORT")
+	check(IsAddress(s.Listen.Callers), "listen.callers", "must be IP:PORT")
+	check(IsAddress(s.Listen.Operators), "listen.operators", "must be IP:PORT")
+	check(IsAddress(s.Listen.Mesh), "listen.mesh", "must be IP:PORT")
 	check(isURL(s.Platform.URL), "platform.url", "must be an http or https URL")
 	check(s.TLS.CAFile != "", "tls.ca_file", "must name a file")
 	check(s.TLS.CertificateFile != "", "tls.certificate_file", "must name a file")
@@ -223,7 +223,8 @@
 	return out
 }
 
-func isAddress(s string) bool {
+// IsAddress reports whether a setting is IP:PORT.
+func IsAddress(s string) bool {
 	host, port, err := net.SplitHostPort(s)
 	return err == nil && net.ParseIP(host) != nil && port != ""
 }
