Node that ends closes its listener even if a connection arrives at that moment

Cause: Run returned when it noticed the end of its context, and stopped the function that closes the listener before that had begun. Change: Run closes the listener itself, and a connection accepted at that moment. The soak prints its faults also if they broke nothing, and the largest quota window.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -32,6 +33,14 @@
 	// partitioned, if set, reports whether updates between two instances are lost at
 	// a time.
 	partitioned func(a, b int, at time.Duration) bool
+	// paused, if set, reports whether the process of an instance is paused at a time. A
+	// paused instance neither acts nor receives updates.
+	paused func(i int, at time.Duration) bool
+	// restarted, if set, reports whether an instance is down at a time; it starts without
+	// any knowledge after that.
+	restarted func(i int, at time.Duration) bool
+	// shareEvery is the number of steps between two updates of an instance's share.
+	shareEvery int
 	// activeInstances, if set, is the number of instances that receive calls.
 	activeInstances int
 	calls, refused  int
@@ -42,7 +51,7 @@
 const step = 10 * time.Millisecond
 
 func newSimulation(n int, bounds allowance.QuotaBounds, unitsPerCall float64) *simulation {
-	s := &simulation{limit: allowance.AccountLimit{Rate: 100_000, Burst: 100_000}, bounds: bounds, unitsPerCall: unitsPerCall, updateEvery: 10}
+	s := &simulation{limit: allowance.AccountLimit{Rate: 100_000, Burst: 100_000}, bounds: bounds, unitsPerCall: unitsPerCall, updateEvery: 10, shareEvery: 1}
 	for i := range n {
 		s.instances = append(s.instances, &spender{quota: allowance.NewQuota(bounds, start.Add(-time.Minute)), run: fmt.Sprint("run", i)})
 	}
@@ -69,13 +78,26 @@
 		now := start.Add(at)
 		s.spentAt = append(s.spentAt, 0)
 		for i, instance := range s.instances {
+			if s.restarted != nil && s.restarted(i, at) {
+				instance.quota = nil
+				continue
+			}
+			if instance.quota == nil {
+				instance.quota, instance.run = allowance.NewQuota(s.bounds, now), fmt.Sprint("run", i, at)
+				instance.quota.Suspend()
+			}
+			if s.isPaused(i, at) {
+				continue
+			}
 			reachable := 1
 			for j := range s.instances {
 				if j != i && at-lastUpdate[i][j] < timeout {
 					reachable++
 				}
 			}
-			instance.quota.SetShare(allowance.ReachableShare(reachable, len(s.instances)), reachable, updateInterval, now)
+			if tick%s.shareEvery == 0 {
+				instance.quota.SetShare(allowance.ReachableShare(reachable, len(s.instances)), reachable, updateInterval, now)
+			}
 			if (s.activeInstances == 0 || i < s.activeInstances) && random.Float64() < demand*step.Seconds() {
 				s.calls++
 				s.refused++
@@ -90,7 +112,7 @@
 			}
 			update := instance.quota.SpendingUpdate(tick%(50*s.updateEvery) == i%s.updateEvery)
 			for j, peer := range s.instances {
-				if j == i || s.partitioned != nil && s.partitioned(i, j, at) {
+				if j == i || peer.quota == nil || s.isPaused(j, at) || s.partitioned != nil && s.partitioned(i, j, at) {
 					continue
 				}
 				peer.quota.Track("a", s.limit, now)
@@ -101,6 +123,10 @@
 	}
 }
 
+func (s *simulation) isPaused(i int, at time.Duration) bool {
+	return s.paused != nil && s.paused(i, at)
+}
+
 // maxInWindow returns the most units spent in any window.
 func (s *simulation) maxInWindow(window time.Duration) float64 {
 	n := int(window / step)
@@ -167,6 +193,57 @@
 		})
 	})
 
+	It("keeps the bound when instances go on after a pause of seconds, before the updates of their peers arrive", func() {
+		tight := allowance.QuotaBounds{Window: 8 * time.Second, Overshoot: 0.1, Slack: 1500}
+		for seed := range int64(40) {
+			s := newSimulation(6, tight, 40)
+			s.limit = allowance.AccountLimit{Rate: 400, Burst: 800}
+			s.shareEvery = 25
+			length := time.Duration(1+seed%6) * 900 * time.Millisecond
+			s.paused = func(i int, at time.Duration) bool {
+				return i <= int(seed%3) && at > 6*time.Second && at < 6*time.Second+length
+			}
+			s.run(18*time.Second, 6*400/40.0/6, seed)
+			Expect(s.maxInWindow(8*time.Second)).To(BeNumerically("<=", (400*8+800)*1.1+1500), "seed %d", seed)
+			Expect(s.total()).To(BeNumerically(">", 18*400*0.85), "seed %d", seed)
+		}
+	})
+
+	It("keeps the bound when pauses, restarts and partitions overlap", func() {
+		tight := allowance.QuotaBounds{Window: 8 * time.Second, Overshoot: 0.1, Slack: 1500}
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			s := newSimulation(6, tight, 40)
+			s.limit = allowance.AccountLimit{Rate: 400, Burst: 800}
+			s.shareEvery = 25
+			type event struct {
+				kind, instances int
+				from, to        time.Duration
+			}
+			events := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+				e := event{kind: rapid.IntRange(0, 2).Draw(t, "kind"), instances: rapid.IntRange(1, 63).Draw(t, "instances")}
+				e.from = time.Duration(rapid.IntRange(0, 1200).Draw(t, "from")) * step
+				e.to = e.from + time.Duration(rapid.IntRange(20, 500).Draw(t, "length"))*step
+				return e
+			}), 1, 8).Draw(t, "events")
+			hit := func(kind, i int, at time.Duration) bool {
+				return slices.ContainsFunc(events, func(e event) bool {
+					return e.kind == kind && e.instances>>i&1 == 1 && at >= e.from && at < e.to
+				})
+			}
+			s.paused = func(i int, at time.Duration) bool { return hit(0, i, at) }
+			s.restarted = func(i int, at time.Duration) bool {
+				return slices.ContainsFunc(events, func(e event) bool {
+					return e.kind == 1 && e.instances>>i&1 == 1 && at >= e.from && at < e.from+300*time.Millisecond
+				})
+			}
+			s.partitioned = func(a, b int, at time.Duration) bool { return hit(2, a, at) != hit(2, b, at) }
+			s.run(18*time.Second, 9, int64(rapid.IntRange(1, 1000).Draw(t, "seed")))
+			if most := s.maxInWindow(8 * time.Second); most > (400*8+800)*1.1+1500 {
+				t.Fatalf("%.0f units in a window: %+v", most, events)
+			}
+		})
+	})
+
 	It("starts a new instance without its burst, which it earns at the rate", func() {
 		q := allowance.NewQuota(allowance.QuotaBounds{}, start)
 		limit := allowance.AccountLimit{Rate: 100, Burst: 1000}
--- a/internal/mesh/node.go
+++ b/internal/mesh/node.go
@@ -136,9 +136,15 @@
 	n.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
+	// The function above may not have run yet when the loop notices the end of ctx. An
+	// open listener would leave redials of peers waiting instead of refusing them.
+	defer listener.Close()
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil {
+			if err == nil {
+				conn.Close()
+			}
 			return ctx.Err()
 		}
 		if err != nil {
--- a/test/soak/book_test.go
+++ b/test/soak/book_test.go
@@ -73,6 +73,8 @@
 	broken  []string
 	loads   []time.Time
 	orders  map[*target][]order
+	// mostTokens is the largest number of tokens of the metered account in any window.
+	mostTokens float64
 }
 
 // order is an order as a target got it.
@@ -221,6 +223,7 @@
 	}
 	slices.SortFunc(spent, func(x, y *record) int { return x.sent.Compare(y.sent) })
 	bound := (meteredRate*quotaWindow.Seconds()+meteredBurst)*(1+quotaOvershoot) + quotaSlack
+	var mostFrom time.Time
 	for i, first := range spent {
 		sum := 0.0
 		for _, r := range spent[i:] {
@@ -228,11 +231,13 @@
 				sum += float64(r.call.PromptTokens + r.call.MaxOutputTokens)
 			}
 		}
-		if sum > bound {
-			b.breaks("QUOTA", "%.0f of %.0f tokens from %v on", sum, bound, first.sent.Format("05.000"))
-			return
+		if sum > b.mostTokens {
+			b.mostTokens, mostFrom = sum, first.sent
 		}
 	}
+	if b.mostTokens > bound {
+		b.breaks("QUOTA", "%.0f of %.0f tokens from %v on", b.mostTokens, bound, mostFrom.Format("05.000"))
+	}
 }
 
 func (b *book) judgeRetries() {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -155,16 +155,17 @@
 	broken := w.book.judge(w)
 	asked, served, refusals := w.book.outcome(from, to)
 	during, servedDuring, _ := w.book.outcome(disrupted, calmAt)
-	GinkgoWriter.Printf("seed %d: %d of %d served with faults, %d of %d after; %d loads, not served after: %v\n",
-		seed, servedDuring, during, served, asked, len(w.book.loads), refusals)
+	GinkgoWriter.Printf("seed %d: %d of %d served with faults, %d of %d after; %d loads, at most %.0f tokens of the quota in a window, not served after: %v\n",
+		seed, servedDuring, during, served, asked, len(w.book.loads), w.book.mostTokens, refusals)
 	if asked == 0 || float64(served) < servedAfter*float64(asked) {
 		broken = append(broken, fmt.Sprintf("RECOVER: %d of %d served after the faults: %v", served, asked, refusals))
 	}
+	GinkgoWriter.Println(strings.Join(w.notes, "\n"))
 	if len(broken) == 0 {
 		Expect(os.RemoveAll(w.dir)).To(Succeed())
 		return nil
 	}
-	GinkgoWriter.Printf("%s\nlogs: %s\n", strings.Join(w.notes, "\n"), w.dir)
+	GinkgoWriter.Printf("logs: %s\n", w.dir)
 	for i := range broken {
 		broken[i] = fmt.Sprintf("seed %d: %s", seed, broken[i])
 	}
