A planned stop closes only connections on which no request has begun

Cause: at SIGTERM, http.Server closed connections as idle until it had read the whole head of the next request. Change: internal/accept tracks connections by the first byte of a request. A stopping instance closes idle ones itself, stops accepting, waits for the first request of connections that it has accepted, and closes each after its answer. Specs: a request that had begun to arrive when the stop signal came is answered (failed before).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dotterellink/dotterellink/internal/accept"
 	"github.com/dotterellink/dotterellink/internal/allowance"
 	"github.com/dotterellink/dotterellink/internal/call"
 	"github.com/dotterellink/dotterellink/internal/catalog"
@@ -56,6 +57,12 @@
 	// sending calls after two failed checks, one second apart. Later calls are refused,
 	// because they might not end within the grace period.
 	drainAcceptTime = 2600 * time.Millisecond
+	// unusedTimeout is how long a stopping instance that has closed its listener waits for
+	// the first request on connections that it has accepted.
+	unusedTimeout = 500 * time.Millisecond
+	// closeIdleInterval is the time between attempts to close the connections whose
+	// answers have ended.
+	closeIdleInterval = 20 * time.Millisecond
 )
 
 // Dependencies are the external systems of an instance.
@@ -90,7 +97,9 @@
 	view       *residency.View
 	demand     *residency.Demand
 	server     *passthrough.Server
-	ready      readiness
+	// connections are those of callers.
+	connections *accept.Tracker
+	ready       readiness
 	// fullCountsAt is when a status last reported all counts.
 	fullCountsAt time.Time
 	// fetchingState is set while catchUp fetches a snapshot from a peer.
@@ -111,7 +120,7 @@
 		quota: allowance.NewQuota(allowance.QuotaBounds{
 			Window: seconds(s.Bounds.QuotaWindowSeconds), Overshoot: s.Bounds.QuotaOvershoot, Slack: s.Bounds.QuotaSlack,
 		}, time.Now()),
-		view: residency.NewView(), demand: residency.NewDemand(), startedAt: time.Now(), bootstrapped: make(chan struct{}),
+		connections: accept.NewTracker(), view: residency.NewView(), demand: residency.NewDemand(), startedAt: time.Now(), bootstrapped: make(chan struct{}),
 	}
 	g.quota.Suspend()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -189,10 +198,10 @@
 	defer stop()
 	callers := &http.Server{
 		Handler: g.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true,
+		DisableGeneralOptionsHandler: true, ConnState: g.connections.ConnState,
 	}
 	group, groupCtx := errgroup.WithContext(background)
-	group.Go(func() error { return serveHTTP(callers, g.callerListener) })
+	group.Go(func() error { return serveHTTP(callers, g.connections.Listener(g.callerListener)) })
 	group.Go(func() error { return serveHTTP(g.readyServer(), g.readyListener) })
 	if g.metricsListener != nil {
 		group.Go(func() error { return serveHTTP(g.metricsServer(), g.metricsListener) })
@@ -227,7 +236,8 @@
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	// A stopping instance closes the listener before the server.
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
@@ -241,18 +251,24 @@
 	g.ready.setLeaving()
 	g.server.DisableKeepAlive()
 	g.exchange.Leave()
-	// Closes idle connections at once, and all others after their next response.
-	// Otherwise callers would send calls on open connections until the end.
-	callers.SetKeepAlivesEnabled(false)
+	// Idle connections are closed at once, all others after their next answer. Otherwise
+	// callers would send calls on open connections until the end.
+	g.connections.CloseIdle(false)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	g.leases.Release(ctx)
 	pause.For(ctx, min(drainAcceptTime, time.Until(deadline)/2))
 	g.server.Close()
 	g.log.WithField("running", g.server.Running()).Info("gateway: Refusing further calls.")
-	if err := callers.Shutdown(ctx); err != nil {
-		g.log.WithField("running", g.server.Running()).WithError(err).Warn("gateway: Grace period ended with calls still running.")
+	g.callerListener.Close()
+	unusedUntil := time.Now().Add(min(unusedTimeout, time.Until(deadline)/2))
+	for g.connections.CloseIdle(time.Now().After(unusedUntil)) > 0 {
+		if !pause.For(ctx, closeIdleInterval) {
+			g.log.WithField("running", g.server.Running()).Warn("gateway: Grace period ended with calls still running.")
+			break
+		}
 	}
+	callers.Close()
 }
 
 func (g *Gateway) metricsServer() *http.Server {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -241,6 +242,42 @@
 		// The cleanup receives once more.
 		i.done <- nil
 	})
+
+	It("answers requests that had begun to arrive on kept connections when the stop signal came", func() {
+		i := start("i1", "z1")
+		Eventually(i.status("/a/x"), 3*time.Second).Should(Equal(http.StatusOK))
+		const callers, half = 20, 60
+		request := func(id int) string {
+			return fmt.Sprintf("GET /a/x HTTP/1.1\r\nHost: h.example\r\nX-Dotterellink-Attempt-Id: early-%02d\r\nX-Dotterellink-Deadline-Ms: 1500\r\n\r\n", id)
+		}
+		var connections [callers]net.Conn
+		var readers [callers]*bufio.Reader
+		for n := range callers {
+			c, err := net.Dial("tcp", i.settings.Listen.Callers)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			connections[n], readers[n] = c, bufio.NewReader(c)
+			_, err = io.WriteString(c, request(n))
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(readers[n], nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.WriteString(c, request(n)[:half])
+			Expect(err).NotTo(HaveOccurred())
+		}
+		time.Sleep(100 * time.Millisecond)
+		i.stop()
+		Eventually(i.ready, 300*time.Millisecond).ShouldNot(Equal(http.StatusOK))
+		for n, c := range connections {
+			_, err := io.WriteString(c, request(n)[half:])
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(readers[n], nil)
+			Expect(err).NotTo(HaveOccurred(), "caller %d", n)
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+			Expect(response.Close).To(BeTrue())
+		}
+	})
 })
 
 var _ = Describe("ParseSettings", func() {
