Quota: fresh instances know what is left, and callers fare alike at all instances

Cause 1: the first status of a peer lists changed accounts only. The demand for models was misjudged the same way. Change: statuses say whether they list all counts; first totals before that are baselines. Cause 2: a fresh instance began with empty buckets. It now adopts the levels of a peer once. Change: all instances admit the same fraction of calls, so that what callers ask for until instances have heard of one another fits into what is left. Returns of refused callers are spread. Cause 4: after a pause of the process its level had grown as if nobody had spent.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -20,6 +20,7 @@
 	quota *allowance.Quota
 	run   string
 	spent float64
+	asked float64
 }
 
 // simulation runs instances that exchange spending updates at intervals.
@@ -43,7 +44,15 @@
 	shareEvery int
 	// activeInstances, if set, is the number of instances that receive calls.
 	activeInstances int
-	calls, refused  int
+	// demandFactor, if set, multiplies the demand at an instance.
+	demandFactor func(i int) float64
+	// callSizes, if set, are the units of a call, drawn at random.
+	callSizes      []float64
+	calls, refused int
+	// asked is the sum of units that callers asked for. sizesAsked and sizesServed count
+	// calls by their units.
+	asked                   float64
+	sizesAsked, sizesServed map[float64]float64
 	// spentAt holds the units spent in each step.
 	spentAt []float64
 }
@@ -51,7 +60,7 @@
 const step = 10 * time.Millisecond
 
 func newSimulation(n int, bounds allowance.QuotaBounds, unitsPerCall float64) *simulation {
-	s := &simulation{limit: allowance.AccountLimit{Rate: 100_000, Burst: 100_000}, bounds: bounds, unitsPerCall: unitsPerCall, updateEvery: 10, shareEvery: 1}
+	s := &simulation{limit: allowance.AccountLimit{Rate: 100_000, Burst: 100_000}, bounds: bounds, unitsPerCall: unitsPerCall, updateEvery: 10, shareEvery: 1, sizesAsked: make(map[float64]float64), sizesServed: make(map[float64]float64)}
 	for i := range n {
 		s.instances = append(s.instances, &spender{quota: allowance.NewQuota(bounds, start.Add(-time.Minute)), run: fmt.Sprint("run", i)})
 	}
@@ -64,7 +73,7 @@
 	// All instances know one another before the first call.
 	for _, instance := range s.instances {
 		for _, peer := range s.instances {
-			peer.quota.ApplyPeerSpending(instance.run, nil, start)
+			peer.quota.ApplyPeerSpending(instance.run, nil, true, start)
 		}
 	}
 	updateInterval := time.Duration(s.updateEvery) * step
@@ -85,6 +94,7 @@
 			if instance.quota == nil {
 				instance.quota, instance.run = allowance.NewQuota(s.bounds, now), fmt.Sprint("run", i, at)
 				instance.quota.Suspend()
+				s.adopt(i, at)
 			}
 			if s.isPaused(i, at) {
 				continue
@@ -98,31 +108,61 @@
 			if tick%s.shareEvery == 0 {
 				instance.quota.SetShare(allowance.ReachableShare(reachable, len(s.instances)), reachable, updateInterval, now)
 			}
-			if (s.activeInstances == 0 || i < s.activeInstances) && random.Float64() < demand*step.Seconds() {
-				s.calls++
-				s.refused++
-				if _, ok := instance.quota.Spend("a", s.limit, s.unitsPerCall, now); ok {
-					s.refused--
-					instance.spent += s.unitsPerCall
-					s.spentAt[tick] += s.unitsPerCall
-				}
+			factor := 1.0
+			if s.demandFactor != nil {
+				factor = s.demandFactor(i)
+			}
+			if (s.activeInstances == 0 || i < s.activeInstances) && random.Float64() < factor*demand*step.Seconds() {
+				s.call(instance, tick, random)
 			}
 			if tick%s.updateEvery != i%s.updateEvery {
 				continue
 			}
-			update := instance.quota.SpendingUpdate(tick%(50*s.updateEvery) == i%s.updateEvery)
+			complete := tick%(50*s.updateEvery) == i%s.updateEvery
+			update := instance.quota.SpendingUpdate(complete)
 			for j, peer := range s.instances {
 				if j == i || peer.quota == nil || s.isPaused(j, at) || s.partitioned != nil && s.partitioned(i, j, at) {
 					continue
 				}
 				peer.quota.Track("a", s.limit, now)
-				peer.quota.ApplyPeerSpending(instance.run, update, now)
+				peer.quota.ApplyPeerSpending(instance.run, update, complete, now)
 				lastUpdate[j][i] = at
 			}
 		}
 	}
 }
 
+// adopt gives a new instance the levels of a peer that it reaches.
+func (s *simulation) adopt(i int, at time.Duration) {
+	now := start.Add(at)
+	s.instances[i].quota.Track("a", s.limit, now)
+	for j, peer := range s.instances {
+		if j != i && peer.quota != nil && !s.isPaused(j, at) && (s.partitioned == nil || !s.partitioned(i, j, at)) {
+			s.instances[i].quota.Adopt(peer.quota.Levels(now), now)
+			return
+		}
+	}
+}
+
+// call makes one call at an instance.
+func (s *simulation) call(instance *spender, tick int, random *rand.Rand) {
+	units := s.unitsPerCall
+	if len(s.callSizes) > 0 {
+		units = s.callSizes[random.Intn(len(s.callSizes))]
+	}
+	s.calls++
+	s.asked += units
+	s.sizesAsked[units]++
+	instance.asked += units
+	if _, ok := instance.quota.Spend("a", s.limit, units, start.Add(time.Duration(tick)*step)); !ok {
+		s.refused++
+		return
+	}
+	instance.spent += units
+	s.sizesServed[units]++
+	s.spentAt[tick] += units
+}
+
 func (s *simulation) isPaused(i int, at time.Duration) bool {
 	return s.paused != nil && s.paused(i, at)
 }
@@ -193,6 +233,22 @@
 		})
 	})
 
+	It("serves callers alike at all instances, though some instances get more calls, and large calls like small ones", func() {
+		s := newSimulation(6, bounds, 0)
+		s.callSizes = []float64{1_000, 9_000, 20_000}
+		s.demandFactor = func(i int) float64 { return []float64{4, 2, 1, 1, 0.5, 0.5}[i] }
+		s.run(240*time.Second, 6*100_000/10_000/6, 7)
+		Expect(s.maxInWindow(8 * time.Second)).To(BeNumerically("<=", allowed))
+		Expect(s.total()).To(BeNumerically(">", 240*100_000*0.9))
+		mean := s.total() / s.asked
+		for i, instance := range s.instances {
+			Expect(instance.spent/instance.asked).To(BeNumerically("~", mean, 0.4*mean), "instance %d", i)
+		}
+		for size, n := range s.sizesAsked {
+			Expect(s.sizesServed[size]/n).To(BeNumerically("~", mean, 0.5*mean), "size %v", size)
+		}
+	})
+
 	It("keeps the bound when instances go on after a pause of seconds, before the updates of their peers arrive", func() {
 		tight := allowance.QuotaBounds{Window: 8 * time.Second, Overshoot: 0.1, Slack: 1500}
 		for seed := range int64(40) {
@@ -244,6 +300,62 @@
 		})
 	})
 
+	It("does not charge a new instance with what peers spent before it started, though their first updates list some accounts only", func() {
+		limit := allowance.AccountLimit{Rate: 1000, Burst: 1000}
+		q := allowance.NewQuota(allowance.QuotaBounds{}, start)
+		q.Track("a", limit, start)
+		q.Track("b", limit, start)
+		now := start.Add(100 * time.Millisecond)
+		q.ApplyPeerSpending("old", []allowance.Spending{{Account: "a", Units: 50_000}}, false, now)
+		now = now.Add(100 * time.Millisecond)
+		q.ApplyPeerSpending("old", []allowance.Spending{{Account: "b", Units: 20_000}}, false, now)
+		_, ok := q.Spend("b", limit, 100, now)
+		Expect(ok).To(BeTrue())
+		q.ApplyPeerSpending("old", []allowance.Spending{{Account: "a", Units: 50_000}, {Account: "b", Units: 20_000}}, true, now)
+		now = now.Add(100 * time.Millisecond)
+		q.ApplyPeerSpending("old", []allowance.Spending{{Account: "b", Units: 20_300}}, false, now)
+		_, ok = q.Spend("b", limit, 100, now)
+		Expect(ok).To(BeFalse(), "what it spends from then on is deducted")
+	})
+
+	It("deducts the first total of an account that a complete update did not list, also if the account was unknown then", func() {
+		limit := allowance.AccountLimit{Rate: 1000, Burst: 1000}
+		q := allowance.NewQuota(allowance.QuotaBounds{}, start.Add(-time.Minute))
+		q.ApplyPeerSpending("run", nil, true, start)
+		q.Track("late", limit, start)
+		q.ApplyPeerSpending("run", []allowance.Spending{{Account: "late", Units: 950}}, false, start)
+		_, ok := q.Spend("late", limit, 100, start)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("lets a new instance go on at the level of a peer, less what all spend until it hears them", func() {
+		limit := allowance.AccountLimit{Rate: 1000, Burst: 5000}
+		peer := allowance.NewQuota(allowance.QuotaBounds{}, start.Add(-time.Minute))
+		peer.Track("a", limit, start)
+		peer.Track("empty", limit, start)
+		_, ok := peer.Spend("empty", limit, 5000, start)
+		Expect(ok).To(BeTrue())
+		fresh := allowance.NewQuota(allowance.QuotaBounds{}, start)
+		fresh.Track("a", limit, start)
+		fresh.Track("empty", limit, start)
+		now := start.Add(50 * time.Millisecond)
+		fresh.Adopt(peer.Levels(now), now)
+		_, ok = fresh.Spend("a", limit, 4000, now)
+		Expect(ok).To(BeTrue())
+		_, ok = fresh.Spend("empty", limit, 300, now)
+		Expect(ok).To(BeFalse())
+		fresh.Adopt([]allowance.AccountLevel{{Account: "a", Units: 5000}}, now)
+		_, ok = fresh.Spend("a", limit, 4000, now)
+		Expect(ok).To(BeFalse(), "levels are adopted once")
+		old := allowance.NewQuota(allowance.QuotaBounds{}, start.Add(-time.Minute))
+		old.Suspend()
+		Expect(old.Levels(now)).To(BeEmpty())
+		old.Track("a", limit, start)
+		old.Adopt([]allowance.AccountLevel{{Account: "a", Units: 5000}}, now)
+		_, ok = old.Spend("a", limit, 100, now)
+		Expect(ok).To(BeFalse(), "an instance that has been up for long adopts nothing")
+	})
+
 	It("starts a new instance without its burst, which it earns at the rate", func() {
 		q := allowance.NewQuota(allowance.QuotaBounds{}, start)
 		limit := allowance.AccountLimit{Rate: 100, Burst: 1000}
--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -27,20 +27,16 @@
 	Slack     float64
 }
 
-// propagationSlack is the fraction of the slack that is reserved for spending that
-// peers don't know of yet, between a call and the update that reports it.
-const propagationSlack = 0.75
-
-// widen adds the overshoot and the unreserved part of the slack to the rate, less
-// what one instance can spend before it notices that its peers are unreachable.
-// updateInterval is the usual time between two updates of a peer.
-func (b QuotaBounds) widen(l AccountLimit, updateInterval time.Duration) AccountLimit {
+// spareFraction is the fraction of the overshoot and the slack that a bucket may be
+// overdrawn by. The rest is for what instances admit before they hear of one another.
+const spareFraction = 0.4
+
+// overdraft returns how far the bucket of an account may be overdrawn, in units.
+func (b QuotaBounds) overdraft(l AccountLimit) float64 {
 	if b.Window <= 0 {
-		return l
+		return 0
 	}
-	undetected := paceBurstFraction*l.Burst + l.Rate*SpendingTimeout(updateInterval).Seconds()
-	spare := (1-propagationSlack)*b.Slack + b.Overshoot*(l.Rate*b.Window.Seconds()+l.Burst) - undetected
-	return AccountLimit{Rate: l.Rate + max(0, spare)/b.Window.Seconds(), Burst: l.Burst}
+	return spareFraction * (b.Overshoot*(l.Rate*b.Window.Seconds()+l.Burst) + b.Slack)
 }
 
 const (
@@ -75,27 +71,53 @@
 	limit      AccountLimit
 	level      float64
 	refilledAt time.Time
-	// paceLevel is the level of a second token bucket, which limits how fast this
-	// instance spends.
-	paceLevel      float64
-	paceRefilledAt time.Time
-	// spendRate is how fast this instance spends, in units a second, as of
-	// rateUpdatedAt, when spent was spentAtRateUpdate.
-	spendRate         float64
-	rateUpdatedAt     time.Time
-	spentAtRateUpdate float64
-	// spent is the total of units that this instance spent; reportedSpent is the
-	// total last reported to peers.
-	spent, reportedSpent float64
+	// spent and asked are the totals of units that this instance admitted and that its
+	// callers asked for; reported holds the totals last reported to peers.
+	spent, asked float64
+	reported     Spending
+	// spendRate and askRate are how fast spent and asked rise, in units a second.
+	spendRate, askRate risingRate
+	// returnsUntil is when the next caller that is refused here should come back.
+	returnsUntil time.Time
 	// peers holds the last update of each run of a peer. A run is one process lifetime
 	// of an instance; its totals start at 0.
 	peers map[string]peerSpending
 }
 
-// peerSpending is the total that a peer reported last, and how fast it spends.
+// risingRate estimates how fast a total rises, in units a second.
+type risingRate struct {
+	rate      float64
+	total     float64
+	updatedAt time.Time
+}
+
+const (
+	// rateWindow is the averaging window of an instance's own rates, an EWMA with a
+	// half-life of half the window; rateStep is the time between two updates.
+	rateWindow = time.Second
+	rateStep   = rateWindow / 10
+)
+
+// update returns the rate, given the newest total.
+func (r *risingRate) update(total float64, now time.Time) float64 {
+	if r.updatedAt.IsZero() {
+		r.updatedAt, r.total = now.Add(-rateWindow), 0
+	}
+	if elapsed := now.Sub(r.updatedAt); elapsed >= rateStep {
+		decay := math.Exp2(-2 * elapsed.Seconds() / rateWindow.Seconds())
+		r.rate = r.rate*decay + (1-decay)*max(0, total-r.total)/elapsed.Seconds()
+		r.updatedAt, r.total = now, total
+	}
+	return r.rate
+}
+
+// peerSpending is the total that a peer reported last, how fast it spends, and how fast
+// its callers ask.
 type peerSpending struct {
 	units     float64
+	asked     float64
 	rate      float64
+	askRate   float64
 	updatedAt time.Time
 	// spendsOwnShare is set once no update has arrived for the assumed spending period:
 	// the peer is then assumed to spend from its own share.
@@ -130,33 +152,32 @@
 	return sum
 }
 
-// applyPeerTotal stores the newest total of a peer's run and returns the increase
-// over the one known before. The first total of an unknown run includes spending
-// from before this instance knew the run, so its increase is 0.
-func (b *bucket) applyPeerTotal(run string, runKnown bool, units float64, now time.Time) float64 {
+// applyPeerTotal stores the newest totals of a peer's run and returns the increase
+// of its spending over the one known before. A first total is a baseline: it includes
+// spending from before this instance knew the run.
+func (b *bucket) applyPeerTotal(run string, newest Spending, now time.Time) float64 {
 	previous, known := b.peers[run]
-	if !known && !runKnown {
-		b.peers[run] = peerSpending{units: units, updatedAt: now}
-		return 0
-	}
+	next := peerSpending{units: newest.Units, asked: newest.Asked, updatedAt: now}
 	if !known {
-		// When the run began to use this account is unknown: assume one interval ago.
-		previous.updatedAt = now.Add(-busyUpdateInterval)
+		b.peers[run] = next
+		return 0
 	}
 	if previous.spendsOwnShare {
 		// What it spent since its last update was deducted by assumption or came from its
 		// own share.
-		b.peers[run] = peerSpending{units: units, rate: previous.rate, updatedAt: now}
+		next.rate, next.askRate = previous.rate, previous.askRate
+		b.peers[run] = next
 		return 0
 	}
-	increase := units - previous.units
+	increase := newest.Units - previous.units
 	elapsed := now.Sub(previous.updatedAt).Seconds()
-	rate := previous.rate
+	next.rate, next.askRate = previous.rate, previous.askRate
 	if elapsed > 0 {
 		weight := min(1, peerRateWeight*max(1, elapsed/busyUpdateInterval.Seconds()))
-		rate += weight * (increase/elapsed - rate)
+		next.rate = max(0, next.rate+weight*(increase/elapsed-next.rate))
+		next.askRate = max(0, next.askRate+weight*((newest.Asked-previous.asked)/elapsed-next.askRate))
 	}
-	b.peers[run] = peerSpending{units: units, rate: max(0, rate), updatedAt: now}
+	b.peers[run] = next
 	return increase
 }
 
@@ -171,12 +192,13 @@
 	// started is when the quota was created or its last suspension ended: new buckets
 	// fill from then on.
 	started time.Time
+	created time.Time
 	random  func() float64
 
 	mu       sync.Mutex
 	accounts map[string]*bucket
-	// runUpdatedAt holds the time of the last update of each run of a peer.
-	runUpdatedAt map[string]time.Time
+	// runs holds what is known of each run of a peer.
+	runs map[string]*peerRun
 	// updateInterval is the usual time between two updates of a peer.
 	updateInterval time.Duration
 	// reachable is the number of instances that share the buckets, self included.
@@ -184,11 +206,26 @@
 	// share is the fraction of each rate that these instances may spend: 1 while
 	// all instances are reachable, 0 while suspended.
 	share float64
+	// sharedAt is when SetShare or Spend was last called. resumesAt is when spending
+	// goes on after a pause of the process.
+	sharedAt, resumesAt time.Time
+	// adopted is set once the levels of a peer were adopted.
+	adopted bool
+}
+
+// peerRun is one run of a peer.
+type peerRun struct {
+	updatedAt time.Time
+	// complete is set once an update has listed all accounts that the run has used: all
+	// others are then known to be unused.
+	complete bool
+	// totals holds the newest totals of each account, also of those without a bucket yet.
+	totals map[string]Spending
 }
 
 // NewQuota returns a quota whose buckets are empty at now and fill from then on.
 func NewQuota(b QuotaBounds, now time.Time) *Quota {
-	return &Quota{bounds: b, started: now, random: rand.Float64, accounts: make(map[string]*bucket), runUpdatedAt: make(map[string]time.Time), share: 1, reachable: 1}
+	return &Quota{bounds: b, started: now, created: now, random: rand.Float64, accounts: make(map[string]*bucket), runs: make(map[string]*peerRun), share: 1, reachable: 1}
 }
 
 // Suspend refuses all spending until the next SetShare. An instance that doesn't
@@ -215,6 +252,7 @@
 	if q.share == 0 {
 		q.started = now
 	}
+	q.noticePause(now)
 	q.reachable, q.updateInterval = max(1, reachable), updateInterval
 	if share == q.share {
 		return
@@ -237,6 +275,11 @@
 		// only what was earned since q.started is available.
 		earned := now.Sub(q.started).Seconds() * limit.Rate * q.share
 		b = &bucket{limit: limit, level: min(limit.Burst, earned), refilledAt: now, peers: make(map[string]peerSpending)}
+		for run, r := range q.runs {
+			if total, listed := r.totals[account]; listed || r.complete {
+				b.peers[run] = peerSpending{units: total.Units, asked: total.Asked, updatedAt: r.updatedAt}
+			}
+		}
 		q.accounts[account] = b
 	}
 	if b.limit != limit {
@@ -254,102 +297,124 @@
 	}
 }
 
-// Spend takes units of an account if the bucket holds them and the instance's pace
-// and the reserve admit the call. If not, it returns the retry delay. A call
-// larger than the burst is admitted on a full bucket.
+// Spend takes units of an account if the bucket holds them, and if what all instances
+// may admit before they hear of one another fits into it. If not, it returns the retry
+// delay. A call larger than the burst is admitted on a full bucket.
 func (q *Quota) Spend(account string, limit AccountLimit, units float64, now time.Time) (wait time.Duration, ok bool) {
 	if limit.Rate <= 0 {
 		return 0, true
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	limit = q.bounds.widen(limit, q.updateInterval)
 	if q.share == 0 {
 		return suspendedRetryAfter, false
 	}
+	q.noticePause(now)
 	b := q.bucket(account, limit, now)
 	b.refill(now, q.share)
+	b.asked += units
+	if left := q.resumesAt.Sub(now); left > 0 {
+		return left, false
+	}
 	need := min(units, limit.Burst*q.share)
 	left := b.level - b.assumedSpending(now, assumedSpendingPeriod(q.updateInterval))
-	rate := max(b.limit.Rate*q.share, 1)
-	if left < need {
-		return time.Duration((need - left) / rate * float64(time.Second)), false
+	rate := limit.Rate * q.share
+	least := need - q.overdraft(limit, need)
+	own, all := b.askRates(now)
+	// This instance's callers get the part of the rate that they ask for.
+	earned := time.Duration(need / rate * max(1, all/max(own, 1)) * float64(time.Second))
+	if left < least {
+		return b.returnAfter(time.Duration((least-left)/rate*float64(time.Second)), earned, now), false
 	}
-	if q.reachable > 1 {
-		if wait := b.paceWait(need, rate, q.paceFactor(), q.reachable, now); wait > 0 {
-			return wait, false
-		}
-		if reserve := min(reserveCalls*need, reserveBurstFraction*b.limit.Burst); left < reserve && q.random() > left/reserve {
-			return time.Duration(need / rate * float64(time.Second)), false
-		}
+	if q.reachable > 1 && q.random() >= q.admittedFraction(b, need, left, own, all) {
+		return b.returnAfter(earned, earned, now), false
 	}
 	b.level -= units
-	b.paceLevel -= units
 	b.spent += units
 	return 0, true
 }
 
-const (
-	// reserveCalls and reserveBurstFraction define when a bucket counts as nearly
-	// empty: below this number of calls or fraction of its burst, whichever is less.
-	// Several instances see the same units until they receive one another's
-	// updates, so each then admits a call with a probability that falls with the
-	// units left.
-	reserveCalls         = 3
-	reserveBurstFraction = 0.3
-	// maxPaceFactor is paceFactor while updates arrive every busyUpdateInterval.
-	// paceBurstFraction is the fraction of a burst that one instance may spend at
-	// once.
-	maxPaceFactor     = 3
-	paceBurstFraction = 0.4
-)
-
-// paceFactor returns the sum of the paces of all instances as a multiple of the
-// rate. What exceeds the rate can be overspent until the next update, so the
-// factor falls towards 1 as updates get rarer in a large fleet.
-func (q *Quota) paceFactor() float64 {
-	return 1 + (maxPaceFactor-1)*min(1, busyUpdateInterval.Seconds()/max(q.updateInterval, busyUpdateInterval).Seconds())
+// overdraft returns how far the bucket may be overdrawn for a call. A single instance
+// sees all spending and needs no overdraft.
+func (q *Quota) overdraft(limit AccountLimit, need float64) float64 {
+	if q.reachable <= 1 {
+		return 0
+	}
+	return min(need, q.share*q.bounds.overdraft(limit))
 }
 
-// paceWait returns the time until this instance's pace admits a call, 0 if it does
-// now. The pace follows what the instance spends relative to its peers, so that an
-// account may send all its calls to one instance.
-func (b *bucket) paceWait(need, rate, factor float64, reachable int, now time.Time) time.Duration {
-	capacity := max(need, paceBurstFraction*b.limit.Burst)
-	if b.paceRefilledAt.IsZero() {
-		b.paceLevel, b.paceRefilledAt = capacity, now
-	}
-	elapsed := now.Sub(b.paceRefilledAt).Seconds()
-	peerRate := 0.0
+// askRates returns how fast the callers of this instance and those of all instances ask,
+// in units a second.
+func (b *bucket) askRates(now time.Time) (own, all float64) {
+	own = b.askRate.update(b.asked, now)
+	all = own
 	for _, p := range b.peers {
 		if !p.spendsOwnShare {
-			peerRate += p.rate
+			all += p.askRate
 		}
 	}
-	own := b.ownRate(now)
-	paceRate := factor * rate * (own + rate/float64(reachable)) / (own + peerRate + rate)
-	if elapsed > 0 {
-		b.paceLevel = min(b.paceLevel+elapsed*paceRate, capacity)
-		b.paceRefilledAt = now
-	}
-	if b.paceLevel >= need {
-		return 0
+	return own, all
+}
+
+// admittedFraction returns the fraction of calls that all instances may admit now, given
+// how fast callers ask at this instance and at all. What callers ask for until the
+// instances have heard of one another must fit into what is left and what is earned
+// meanwhile. All instances use the same fraction, so that callers fare the same at each
+// of them.
+func (q *Quota) admittedFraction(b *bucket, need, left, own, all float64) float64 {
+	unheard := (propagationIntervals*max(q.updateInterval, busyUpdateInterval) + propagationDelay).Seconds()
+	expected := unheard * all
+	if all == own {
+		// Calls may begin at all instances at the same moment.
+		expected = max(expected, need*float64(q.reachable))
 	}
-	return time.Duration((need - b.paceLevel) / paceRate * float64(time.Second))
+	return (left + unheard*b.limit.Rate*q.share) / max(expected, 1)
+}
+
+const (
+	// propagationIntervals and propagationDelay are the time until what an instance
+	// admits is known to the others: the mean age of updates, and their way.
+	propagationIntervals = 1
+	propagationDelay     = 20 * time.Millisecond
+	// maxReturnDelay bounds the time after which a refused caller is told to come back.
+	maxReturnDelay = 20 * time.Second
+)
+
+// returnAfter returns when a refused caller should come back: not before earliest, and
+// after those who were refused before it, as callers that come back together would be
+// refused again. earned is the time in which the callers of this instance earn the units
+// of the call.
+func (b *bucket) returnAfter(earliest, earned time.Duration, now time.Time) time.Duration {
+	wait := min(max(earliest, b.returnsUntil.Sub(now)), maxReturnDelay)
+	b.returnsUntil = now.Add(wait + earned)
+	return wait
 }
 
-// ownRateWindow is the averaging window of the instance's own spending rate, an
-// EWMA with a half-life of half the window.
-const ownRateWindow = time.Second
+const (
+	// pauseTimeout is the time without a call of SetShare after which the process counts
+	// as having been paused.
+	pauseTimeout = 900 * time.Millisecond
+	// minResumeDelay is the shortest time after a pause in which updates of all peers
+	// arrive.
+	minResumeDelay = 200 * time.Millisecond
+)
 
-// ownRate returns how fast this instance spends, in units a second.
-func (b *bucket) ownRate(now time.Time) float64 {
-	if elapsed := now.Sub(b.rateUpdatedAt); elapsed >= ownRateWindow/4 {
-		decay := math.Exp2(-2 * elapsed.Seconds() / ownRateWindow.Seconds())
-		b.spendRate = b.spendRate*decay + (1-decay)*(b.spent-b.spentAtRateUpdate)/elapsed.Seconds()
-		b.rateUpdatedAt, b.spentAtRateUpdate = now, b.spent
+// noticePause suspends spending for a moment if the process was paused: what the peers
+// have spent meanwhile is not known until their next updates. It requires q.mu.
+func (q *Quota) noticePause(now time.Time) {
+	paused := !q.sharedAt.IsZero() && now.Sub(q.sharedAt) > pauseTimeout
+	q.sharedAt = now
+	if !paused || q.reachable <= 1 {
+		return
+	}
+	q.resumesAt = now.Add(max(minResumeDelay, 2*q.updateInterval))
+	for _, b := range q.accounts {
+		for run, p := range b.peers {
+			// The increase since the last update is then deducted in full.
+			p.updatedAt = now
+			b.peers[run] = p
+		}
 	}
-	return b.spendRate
 }
 
 // Refund gives back the units of a call that did not run.
@@ -358,16 +423,16 @@
 	defer q.mu.Unlock()
 	if b := q.accounts[account]; b != nil {
 		b.level = min(b.level+units, b.limit.Burst*q.share)
-		b.paceLevel += units
 		b.spent -= units
 	}
 }
 
-// Spending is the total of units of an account that an instance spent since it
-// started.
+// Spending holds totals of units of an account since an instance started: those that it
+// admitted, and those that its callers asked for.
 type Spending struct {
 	Account string  `msgpack:"a"`
 	Units   float64 `msgpack:"u"`
+	Asked   float64 `msgpack:"k"`
 }
 
 // SpendingUpdate returns the totals of this instance that changed since the last
@@ -377,9 +442,10 @@
 	defer q.mu.Unlock()
 	var out []Spending
 	for name, b := range q.accounts {
-		if all && b.spent > 0 || b.spent != b.reportedSpent {
-			out = append(out, Spending{name, b.spent})
-			b.reportedSpent = b.spent
+		newest := Spending{name, b.spent, b.asked}
+		if all && b.asked > 0 || newest != b.reported {
+			out = append(out, newest)
+			b.reported = newest
 		}
 	}
 	return out
@@ -396,35 +462,103 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	b := q.bucket(account, q.bounds.widen(limit, q.updateInterval), now)
-	for run, at := range q.runUpdatedAt {
-		if now.Sub(at) > runRetention {
-			delete(b.peers, run)
-			delete(q.runUpdatedAt, run)
+	q.bucket(account, limit, now)
+	for run, r := range q.runs {
+		if now.Sub(r.updatedAt) > runRetention {
+			q.removeRun(run)
 		}
 	}
 }
 
+// removeRun requires q.mu.
+func (q *Quota) removeRun(run string) {
+	delete(q.runs, run)
+	for _, b := range q.accounts {
+		delete(b.peers, run)
+	}
+}
+
 // ApplyPeerSpending deducts what one run of a peer has spent since its last update,
-// given its totals. Totals in the first update of a run are not deducted, because
-// they include what it spent before this instance knew it. An account that first
-// appears in a later update is deducted in full.
-func (q *Quota) ApplyPeerSpending(run string, list []Spending, now time.Time) {
+// given its totals. The first total of an account is not deducted, because it includes
+// what the run spent before this instance knew it, unless an earlier update was complete:
+// an account that it did not list was unused then. complete is set if the list holds all
+// accounts that the run has used.
+func (q *Quota) ApplyPeerSpending(run string, list []Spending, complete bool, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	_, runKnown := q.runUpdatedAt[run]
-	q.runUpdatedAt[run] = now
-	listed := make(map[string]bool, len(list))
+	r := q.runs[run]
+	if r == nil {
+		r = &peerRun{totals: make(map[string]Spending)}
+		q.runs[run] = r
+	}
+	r.updatedAt = now
 	for _, s := range list {
-		if b := q.accounts[s.Account]; b != nil {
-			b.level -= b.applyPeerTotal(run, runKnown, s.Units, now)
-			listed[s.Account] = true
+		r.totals[s.Account] = s
+	}
+	for account, b := range q.accounts {
+		// The totals of accounts that are not listed have not changed.
+		total, known := r.totals[account]
+		if known || r.complete {
+			b.level -= b.applyPeerTotal(run, total, now)
+		}
+		if complete && !known {
+			b.peers[run] = peerSpending{updatedAt: now}
 		}
 	}
-	// The totals of accounts that are not listed have not changed.
+	r.complete = r.complete || complete
+}
+
+// AccountLevel is what one instance believes to be left of an account's units.
+type AccountLevel struct {
+	Account string `msgpack:"a"`
+	// Units is the level of the bucket; negative if more was spent than the limit allows.
+	Units float64 `msgpack:"u"`
+	// Rate is how fast all instances together spend, in units a second.
+	Rate float64 `msgpack:"r"`
+}
+
+// Levels returns the levels of all accounts, for an instance that has just started.
+// They are unknown while spending is suspended.
+func (q *Quota) Levels(now time.Time) []AccountLevel {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.share == 0 {
+		return nil
+	}
+	var out []AccountLevel
 	for name, b := range q.accounts {
-		if p, known := b.peers[run]; known && !listed[name] {
-			b.level -= b.applyPeerTotal(run, true, p.units, now)
+		b.refill(now, q.share)
+		rate := b.spendRate.update(b.spent, now)
+		for _, p := range b.peers {
+			if !p.spendsOwnShare {
+				rate += p.rate
+			}
+		}
+		out = append(out, AccountLevel{name, b.level - b.assumedSpending(now, assumedSpendingPeriod(q.updateInterval)), rate})
+	}
+	return out
+}
+
+// adoptionPeriod is how long after its start an instance adopts the levels of a peer.
+const adoptionPeriod = 3 * time.Second
+
+// Adopt raises the levels of an instance that has just started to those of a peer, less
+// what is spent until the updates of all peers arrive. Without it the instance would
+// have to earn the units anew that the account has left. It has an effect once, on
+// tracked accounts, and only soon after the start.
+func (q *Quota) Adopt(list []AccountLevel, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(list) == 0 || q.adopted || now.Sub(q.created) > adoptionPeriod {
+		return
+	}
+	q.adopted = true
+	for _, l := range list {
+		b := q.accounts[l.Account]
+		if b == nil {
+			continue
 		}
+		unseen := l.Rate * 2 * max(q.updateInterval, busyUpdateInterval).Seconds()
+		b.level = max(b.level, min(l.Units, b.limit.Burst)-unseen)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,7 +141,13 @@
 	g.exchange = peers.NewExchange(g.node, g.settings.Listen.advertisedMesh(), uuid.NewString(), g.log)
 	g.exchange.FillStatus, g.exchange.OnStatus, g.exchange.OnRunEnded = g.fillStatus, g.onStatus, g.onRunEnded
 	g.exchange.HasUpdates = func() bool { return g.dispatcher.Pending() || g.controller.Pending() }
-	mesh.Handle(g.node, methodSnapshot, g.store.handleSnapshot)
+	mesh.Handle(g.node, methodSnapshot, func(ctx context.Context, from mesh.Peer, r *snapshotRequest) (*snapshot, error) {
+		out, err := g.store.handleSnapshot(ctx, from, r)
+		if err == nil {
+			out.Levels = g.quota.Levels(time.Now())
+		}
+		return out, err
+	})
 	g.node.Handle(methodUpdate, g.handleUpdate)
 	g.node.Handle(methodUpdateRelay, g.handleRelayedUpdate)
 }
--- a/internal/gateway/introduce.go
+++ b/internal/gateway/introduce.go
@@ -185,5 +185,8 @@
 		g.log.WithField("peer", peer).WithError(err).Info("gateway: Cannot fetch snapshot from peer.")
 		return
 	}
-	g.store.applySnapshot(s, time.Now())
+	now := time.Now()
+	g.store.applySnapshot(s, now)
+	g.trackAccounts(now)
+	g.quota.Adopt(s.Levels, now)
 }
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dotterellink/dotterellink/internal/allowance"
 	"github.com/dotterellink/dotterellink/internal/follow"
 	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/platform"
@@ -20,6 +21,8 @@
 	Updates [][]byte `msgpack:"w"`
 	// AgeMS is the time since the store confirmed the oldest of them, in milliseconds.
 	AgeMS int64 `msgpack:"a"`
+	// Levels are what the peer believes to be left of the accounts' units.
+	Levels []allowance.AccountLevel `msgpack:"q,omitempty"`
 }
 
 // maxFreshSnapshotAge is the age up to which the snapshot of a peer counts as fresh. It
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -21,9 +21,9 @@
 	s.StoreLost = g.store.storeIsLost()
 	s.Loads, s.PrefixUpdates = g.dispatcher.TakeUpdates(full, time.Now())
 	g.recordAdapterUse(s.PrefixUpdates)
-	fullCounts := g.fullCountsDue()
-	s.Spent = g.quota.SpendingUpdate(fullCounts)
-	s.Demand = g.demand.Updates(fullCounts)
+	s.AllCounts = g.fullCountsDue()
+	s.Spent = g.quota.SpendingUpdate(s.AllCounts)
+	s.Demand = g.demand.Updates(s.AllCounts)
 	s.Held, s.Ended = g.leases.Status()
 	if len(s.Held) > 0 {
 		s.Placements = g.controller.Updates(full)
@@ -34,8 +34,8 @@
 func (g *Gateway) onStatus(from peers.Peer, s *peers.Status, newRun bool) {
 	now := time.Now()
 	g.dispatcher.ApplyPeerUpdate(from.Name, s.Loads, s.PrefixUpdates, now)
-	g.quota.ApplyPeerSpending(s.Run, s.Spent, now)
-	g.demand.Observe(s.Run, s.Demand, now)
+	g.quota.ApplyPeerSpending(s.Run, s.Spent, s.AllCounts, now)
+	g.demand.Observe(s.Run, s.Demand, s.AllCounts, now)
 	g.recordAdapterUse(s.PrefixUpdates)
 	g.leases.Observe(s.Held, s.Ended)
 	for _, p := range s.Placements {
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -200,6 +200,7 @@
 	limit := allowance.AccountLimit{Rate: f.account.Rate, Burst: f.account.Burst}
 	wait, ok := f.Quota.Spend(f.account.Name, limit, f.units, f.Now())
 	if !ok {
+		f.Log.WithFields(log.Fields{"call": f.call.ID, "account": f.account.Name, "units": f.units, "wait_ms": wait.Milliseconds()}).Info("passthrough: Account has no units left for the call.")
 		f.refuse(f.w, f.call, http.StatusTooManyRequests, "over_quota", wait)
 	}
 	return ok
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -26,9 +26,12 @@
 	PrefixUpdates []dispatch.PrefixUpdate `msgpack:"rd,omitempty"`
 	Spent         []allowance.Spending    `msgpack:"sp,omitempty"`
 	Demand        []ModelDemand           `msgpack:"dm,omitempty"`
-	Held          []HeldLease             `msgpack:"hl,omitempty"`
-	Ended         []EndedLease            `msgpack:"el,omitempty"`
-	Placements    []Placement             `msgpack:"pl,omitempty"`
+	// AllCounts is set if Spent and Demand list all accounts and models in use, and not
+	// only those that changed.
+	AllCounts  bool         `msgpack:"ac,omitempty"`
+	Held       []HeldLease  `msgpack:"hl,omitempty"`
+	Ended      []EndedLease `msgpack:"el,omitempty"`
+	Placements []Placement  `msgpack:"pl,omitempty"`
 }
 
 // ModelDemand is the work for a model that an instance has received since its start.
--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -26,6 +26,13 @@
 	unserved uint64
 }
 
+// peerDemand holds the counts of one run of a peer. complete is set once a report has
+// listed all models with work.
+type peerDemand struct {
+	counts   map[modelKey]demandCount
+	complete bool
+}
+
 // Demand sums the work for each model over all instances. It is safe for
 // concurrent use.
 type Demand struct {
@@ -33,7 +40,7 @@
 	// own holds the counts of this instance since its start, peers the last reported
 	// counts by run.
 	own   map[modelKey]demandCount
-	peers map[string]map[modelKey]demandCount
+	peers map[string]*peerDemand
 	// pendingWork is the work in seconds since the last update of the rates; rate is
 	// the decaying average in engines.
 	pendingWork map[modelKey]float64
@@ -47,7 +54,7 @@
 // NewDemand returns an empty Demand.
 func NewDemand() *Demand {
 	return &Demand{
-		own: make(map[modelKey]demandCount), peers: make(map[string]map[modelKey]demandCount),
+		own: make(map[modelKey]demandCount), peers: make(map[string]*peerDemand),
 		pendingWork: make(map[modelKey]float64), rate: make(map[modelKey]float64), unservedAt: make(map[modelKey]time.Time),
 		changed: make(map[modelKey]bool),
 	}
@@ -87,27 +94,28 @@
 }
 
 // Observe applies the cumulative counts that one run of a peer reports. The first
-// counts of a run are only a baseline, as they include earlier work.
-func (d *Demand) Observe(run string, list []peers.ModelDemand, now time.Time) {
+// counts of a model are only a baseline, as they include earlier work, unless an earlier
+// report was complete: a model that it did not list had no work then.
+func (d *Demand) Observe(run string, list []peers.ModelDemand, complete bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	counts := d.peers[run]
-	first := counts == nil
-	if first {
-		counts = make(map[modelKey]demandCount)
-		d.peers[run] = counts
+	p := d.peers[run]
+	if p == nil {
+		p = &peerDemand{counts: make(map[modelKey]demandCount)}
+		d.peers[run] = p
 	}
 	for _, m := range list {
 		key := modelKey{m.Service, m.Model}
-		before := counts[key]
-		if !first {
+		before, known := p.counts[key]
+		if known || p.complete {
 			d.pendingWork[key] += max(0, m.WorkMS-before.work) / 1000
 			if m.Unserved > before.unserved {
 				d.unservedAt[key] = now
 			}
 		}
-		counts[key] = demandCount{m.WorkMS, m.Unserved}
+		p.counts[key] = demandCount{m.WorkMS, m.Unserved}
 	}
+	p.complete = p.complete || complete
 }
 
 // RemoveRun drops the counts of a run of a peer.
--- a/internal/residency/keeper_test.go
+++ b/internal/residency/keeper_test.go
@@ -319,12 +319,12 @@
 		peer := NewDemand()
 		// The first report of a run includes earlier work.
 		peer.Add("s", "m", 500*time.Second, false, now)
-		d.Observe("run", peer.Updates(true), now)
+		d.Observe("run", peer.Updates(true), true, now)
 		for range 40 {
 			now = now.Add(250 * time.Millisecond)
 			peer.Add("s", "m", 125*time.Millisecond, false, now)
-			d.Observe("run", peer.Updates(true), now)
-			d.Observe("run", peer.Updates(true), now)
+			d.Observe("run", peer.Updates(true), true, now)
+			d.Observe("run", peer.Updates(true), true, now)
 			d.UpdateRates(now)
 		}
 		rates, _ := d.Rates("s", now)
@@ -333,4 +333,24 @@
 		rates, _ = d.Rates("s", now)
 		Expect(rates["m"]).To(BeNumerically("<", 0.05))
 	})
+
+	It("takes no earlier work of a peer for demand, though its first report lists some models only", func() {
+		d, now := NewDemand(), time.Unix(1000, 0)
+		d.Rates("s", now)
+		report := func(complete bool, list ...peers.ModelDemand) {
+			now = now.Add(250 * time.Millisecond)
+			d.Observe("run", list, complete, now)
+			d.UpdateRates(now)
+		}
+		report(false, peers.ModelDemand{Service: "s", Model: "m", WorkMS: 60_000})
+		report(false, peers.ModelDemand{Service: "s", Model: "n", WorkMS: 30_000, Unserved: 2})
+		rates, unserved := d.Rates("s", now)
+		Expect(rates["n"]).To(BeZero())
+		Expect(unserved).To(BeEmpty())
+		report(true, peers.ModelDemand{Service: "s", Model: "m", WorkMS: 60_000}, peers.ModelDemand{Service: "s", Model: "n", WorkMS: 30_000, Unserved: 2})
+		report(false, peers.ModelDemand{Service: "s", Model: "rare", WorkMS: 250, Unserved: 1})
+		rates, unserved = d.Rates("s", now)
+		Expect(rates["rare"]).To(BeNumerically(">", 0), "a complete report did not list it")
+		Expect(unserved).To(HaveKey("rare"))
+	})
 })
