--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -69,14 +69,15 @@
 		f.giveUp("no_target_free", max(wait, noTargetRetryAfter))
 		return dispatch.Pick{}, false
 	}
+	// Work that is refused counts too: it shows that the model needs more copies.
+	if f.call.Model != "" {
+		f.Residency.Demand(f.service, f.call.Model, f.call.Adapter, pick.Cost, false)
+	}
 	if left := f.firstAnswerBudget(now); pick.Expected > left {
 		f.logTooLate(pick, now)
 		f.giveUp("too_late", pick.Expected-left+noTargetRetryAfter/2)
 		return dispatch.Pick{}, false
 	}
-	if f.call.Model != "" {
-		f.Residency.Demand(f.service, f.call.Model, f.call.Adapter, pick.Cost, false)
-	}
 	if pick.NeedsAdapter {
 		return f.withAdapter(ctx, pick, service)
 	}
