Replication of adapters checks the target again before the order

Calls may fill its slots meanwhile, and the replica then exceeds AdapterSlots. Spec: fails with the code before. The spec of calls refused as too late checks their demand.

--- a/internal/passthrough/server_test.go
+++ b/internal/passthrough/server_test.go
@@ -294,6 +294,7 @@
 			Expect(time.Since(start)).To(BeNumerically("<", 200*time.Millisecond))
 			Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty())
 			Expect(calls()).To(BeZero())
+			Expect(time.Duration(residency.work.Load())).To(BeNumerically(">", 10*time.Second), "the refused work is demand for the model")
 		})
 	})
 
--- a/internal/passthrough/standins_test.go
+++ b/internal/passthrough/standins_test.go
@@ -55,7 +55,10 @@
 	return http.Header{"Retry-After": {strconv.FormatFloat(after.Seconds(), 'f', 2, 64)}}
 }
 
-type fakeResidency struct{ unserved atomic.Int32 }
+type fakeResidency struct {
+	unserved atomic.Int32
+	work     atomic.Int64
+}
 
 func (*fakeResidency) Holds(t *fleet.Target, model, _ string) (bool, bool) {
 	return model == "" || t.Holds(model), model != "bare"
@@ -63,7 +66,8 @@
 func (*fakeResidency) EnsureAdapter(context.Context, string, string, string, string) (string, error) {
 	return "", errors.New("none")
 }
-func (e *fakeResidency) Demand(_, _, _ string, _ time.Duration, unserved bool) {
+func (e *fakeResidency) Demand(_, _, _ string, work time.Duration, unserved bool) {
+	e.work.Add(int64(work))
 	if unserved {
 		e.unserved.Add(1)
 	}
--- a/internal/residency/adapters.go
+++ b/internal/residency/adapters.go
@@ -267,21 +267,29 @@
 // has a free slot for it.
 func (c *Controller) replicateAdapter(list []*managedTarget, name string, engine *catalog.Engine) {
 	model, adapter := splitAdapterName(name)
+	// fits requires m.mu.
+	fits := func(m *managedTarget) bool {
+		_, has := m.adapters[name]
+		return m.target.Usable() && m.hasReport && !m.busy && !has && m.move == nil &&
+			m.adapterCount() < engine.AdapterSlots-reservedAdapterSlots && slices.Contains(m.models, model)
+	}
 	var best *managedTarget
 	var least time.Duration
 	for _, m := range list {
 		m.mu.Lock()
-		_, has := m.adapters[name]
-		fits := m.target.Usable() && m.hasReport && !m.busy && !has && m.move == nil &&
-			m.adapterCount() < engine.AdapterSlots-reservedAdapterSlots && slices.Contains(m.models, model)
+		ok := fits(m)
 		m.mu.Unlock()
-		if work := c.queuedWork(m.id); fits && (best == nil || work < least) {
+		if work := c.queuedWork(m.id); ok && (best == nil || work < least) {
 			best, least = m, work
 		}
 	}
-	if best != nil {
-		best.mu.Lock()
-		defer best.mu.Unlock()
+	if best == nil {
+		return
+	}
+	best.mu.Lock()
+	defer best.mu.Unlock()
+	// Calls may have filled the target while the others were looked at.
+	if fits(best) {
 		c.sendOrder(best, call.Order{Kind: call.LoadAdapter, Model: model, Adapter: adapter, ExpectedOrders: best.orderCount})
 	}
 }
--- a/internal/residency/keeper_test.go
+++ b/internal/residency/keeper_test.go
@@ -265,6 +265,33 @@
 		Expect(operator.crashes()).To(BeEmpty())
 	})
 
+	It("does not replicate an adapter to a target whose slots are filled while the other targets are looked at", func() {
+		fillAdapterSlots()
+		list := controller.targetsOf("s", "z")
+		full, last := list[0], list[len(list)-1]
+		Expect([]string{full.id, last.id}).To(Equal([]string{"t0", "t2"}))
+		engine := *operator.engine
+		engine.AdapterSlots = 2
+		last.mu.Lock()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			controller.replicateAdapter(list, "m0/a1", &engine)
+		}()
+		// It has looked at t0, where one slot is free for it, and waits for t2.
+		time.Sleep(100 * time.Millisecond)
+		full.mu.Lock()
+		full.adapters["m0/a4"], full.adapters["m0/a5"] = time.Now(), time.Now()
+		operator.mu.Lock()
+		operator.byID["t0"].adapters = []string{"m0/a4", "m0/a5"}
+		operator.mu.Unlock()
+		full.mu.Unlock()
+		last.models = nil
+		last.mu.Unlock()
+		<-done
+		Expect(operator.crashes()).To(BeEmpty())
+	})
+
 	It("refuses an adapter for a model that no target holds", func() {
 		_, err := controller.EnsureAdapter(ctx, "s", "t1", "none", "a1")
 		Expect(errors.Is(err, ErrNoCapacity) || errors.Is(err, ErrNoHolder)).To(BeTrue())
