Leases know of eras of the store: a lease of an ended era allows no order

Cause: a store that comes back from an older copy forgets the writes since. Its record may hide a holder that still relies on its lease; another candidate then took the lease at once, and fencing tokens were used twice. Change: versions are pairs of era and revision (internal/platform/era.go). A holder stops when it learns of a new era and may take the lease again at once; everybody else waits the longest lease after learning of it, unless the record was written in the current era. Tokens hold the era.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -5,12 +5,18 @@
 // observed the record unchanged for the lease duration plus a margin. A released
 // lease, and one that a new run of its holder may resume (Timing.HolderResumes),
 // are free at once. Clocks of different machines are never compared.
+//
+// If the store comes back from an older copy of itself, its record may hide a holder of
+// the ended era. The holder stops as soon as it learns of the new era, and nobody else
+// takes the lease over before the longest lease of the ended era has run out.
 package lease
 
 import (
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/dotterellink/dotterellink/internal/platform"
 )
 
 // ErrNotHeld means that the instance does not hold the lease, or that the lease
@@ -45,8 +51,16 @@
 	DurationMS int64 `json:"duration_ms"`
 	// Renewal distinguishes the writes of a session from each other.
 	Renewal uint64 `json:"renewal"`
+	// Era is the era of the store for which the record was written. A record of an ended
+	// era comes from a copy of the store, or was written without knowing of the new era.
+	Era platform.Era `json:"era,omitempty"`
 }
 
+// eraTokenBits is the number of low bits of a fencing token that count acquisitions. The
+// era above them makes the tokens of an era higher than all before, also those that the
+// store has forgotten.
+const eraTokenBits = 32
+
 func (r Record) duration() time.Duration { return time.Duration(r.DurationMS) * time.Millisecond }
 
 // Action is the next operation on a lease.
@@ -85,6 +99,17 @@
 	resumed bool
 	// freeSince is the result of takeoverAt for the record that was taken over.
 	freeSince time.Time
+
+	// era is the newest known era of the store, and eraKnownAt when this instance learned
+	// of it; zero if no lease of an earlier era can exist.
+	era        platform.Era
+	eraKnown   bool
+	eraKnownAt time.Time
+	// heldUntil is when the lease of an earlier era ends that this session held when it
+	// learned of the current one. Until then no other candidate may act.
+	heldUntil time.Time
+	// highestToken is the highest token seen in any era.
+	highestToken uint64
 }
 
 // NewState returns the state of a lease that has not been read yet. The session
@@ -100,6 +125,9 @@
 	// without waiting. Set it only for holders whose new run implies that the
 	// previous run has ended.
 	HolderResumes bool
+	// FirstStart is set if the whole system starts for the first time, so that no earlier
+	// run of any candidate can hold the lease.
+	FirstStart bool
 }
 
 // NewTimedState is like NewState with the given timing.
@@ -107,13 +135,31 @@
 	return &State{holder: holder, session: session, timing: timing}
 }
 
-// Observe applies the result of a read that returned at the given time. Version
-// 0 means that no record exists. Versions that are not newer are ignored.
+// EnterEra records that the store has an era, learned at now. If the era is new, the
+// lease is no longer held, and its record has to be read again.
+func (s *State) EnterEra(era platform.Era, now time.Time) {
+	if s.eraKnown && era <= s.era {
+		return
+	}
+	if s.Held(now) {
+		s.heldUntil = s.Until()
+	}
+	if era > 0 && (s.eraKnown || !s.timing.FirstStart) {
+		s.eraKnownAt = now
+	}
+	s.era, s.eraKnown = era, true
+	s.holding, s.observedAt = false, time.Time{}
+}
+
+// Observe applies the result of a read that returned at the given time. A version with
+// revision 0 means that no record exists. Versions that are not newer are ignored.
 func (s *State) Observe(r Record, version uint64, at time.Time) {
-	if !s.observedAt.IsZero() && version <= s.version {
+	s.EnterEra(platform.Version(version).Era(), at)
+	if platform.Version(version).Era() < s.era || !s.observedAt.IsZero() && version <= s.version {
 		return
 	}
 	s.record, s.version, s.observedAt = r, version, at
+	s.highestToken = max(s.highestToken, r.Token)
 	if r.Session != s.session {
 		s.holding = false
 	}
@@ -128,7 +174,11 @@
 		return Wait
 	case s.Held(now):
 		return s.nextAsHolder(now, rank)
-	case rank < 0 || now.Before(s.takeoverAt().Add(time.Duration(rank)*rankDelay)):
+	case rank < 0:
+		return Wait
+	case now.Before(s.heldUntil):
+		return Acquire
+	case now.Before(s.takeoverAt().Add(time.Duration(rank) * rankDelay)):
 		return Wait
 	}
 	return Acquire
@@ -150,12 +200,19 @@
 }
 
 // takeoverAt returns the earliest time at which the lease may be taken over. By
-// then the recorded holder no longer relies on it, even if it was paused.
+// then the recorded holder no longer relies on it, even if it was paused, and neither
+// does a holder of an earlier era that the record does not show.
 func (s *State) takeoverAt() time.Time {
-	if s.record.Session == "" || s.resumes() {
-		return s.observedAt
+	at := s.observedAt
+	if s.record.Session != "" && !s.resumes() {
+		at = at.Add(s.record.duration() + DriftMargin)
 	}
-	return s.observedAt.Add(s.record.duration() + DriftMargin)
+	if !s.eraKnownAt.IsZero() && (s.record.Token == 0 || s.record.Era != s.era) {
+		if hidden := s.eraKnownAt.Add(s.timing.Duration + DriftMargin); hidden.After(at) {
+			at = hidden
+		}
+	}
+	return at
 }
 
 // resumes reports whether the recorded holder is an earlier run of this holder
@@ -167,10 +224,10 @@
 // Proposed returns the record to write for an action and the version that the
 // conditional write expects.
 func (s *State) Proposed(a Action) (Record, uint64) {
-	next := Record{Holder: s.holder, Session: s.session, Token: s.record.Token, DurationMS: s.timing.Duration.Milliseconds(), Renewal: s.record.Renewal + 1}
+	next := Record{Holder: s.holder, Session: s.session, Token: s.record.Token, DurationMS: s.timing.Duration.Milliseconds(), Renewal: s.record.Renewal + 1, Era: s.era}
 	switch a {
 	case Acquire:
-		next.Token++
+		next.Token = max(s.highestToken+1, uint64(s.era)<<eraTokenBits)
 	case Release:
 		next.Holder, next.Session = "", ""
 	}
@@ -178,14 +235,21 @@
 }
 
 // ApplyWrite applies a write that is known to have taken effect. It was sent at
-// sentAt, and its outcome became known at now.
+// sentAt, and its outcome became known at now. A write that was acknowledged in another
+// era than it was made for gives no right to the lease: in an earlier one it is gone, and
+// in a later one it may have replaced the record of another holder.
 func (s *State) ApplyWrite(a Action, r Record, version uint64, sentAt, now time.Time) {
+	if era := platform.Version(version).Era(); era != s.era || r.Era != s.era {
+		s.Observe(r, version, now)
+		return
+	}
 	if a == Acquire {
-		s.resumed = s.resumes()
+		s.resumed = s.resumes() || sentAt.Before(s.heldUntil)
 		s.freeSince = s.takeoverAt()
 		s.outrankedSince = time.Time{}
 	}
 	s.record, s.version, s.observedAt = r, version, now
+	s.highestToken = max(s.highestToken, r.Token)
 	s.holding, s.sentAt = a != Release, sentAt
 }
 
