Era of the store carried through followers, targets, evacuations, leases and registration

Cause: a follower ignored lists whose version went back and asked again without a pause (829 calls in 3.5 s from one), and skipped objects written again under reused revisions; targets and zones that the store's copy lacked were dropped, targets that had left came back with the copy; entries of instances written since the copy were gone for good. Change: platform.Store decodes the header into versions of era and revision, refuses answers of an ended era and sends no revision of one. A watch that a new era answers lists anew. The table of targets keeps what has left (a run that said so never returns; one whose entry was removed returns if it announces itself again or is still listed after 6 s), keeps missing entries for 3 s, and tells evacuations that came back with the copy from those written again. Peers hear of eras in statuses. Entries of instances cost one list and the writes that are missing.

--- a/cmd/dotterellinkd/gateway.go
+++ b/cmd/dotterellinkd/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dotterellink/dotterellink/internal/gateway"
+	objects "github.com/dotterellink/dotterellink/internal/platform"
 	"github.com/dotterellink/dotterellink/internal/telemetry"
 	"github.com/dotterellink/dotterellink/platform"
 )
@@ -29,8 +30,9 @@
 	}
 	defer lines.Close()
 	go reloadOnSignal(ctx, o.Settings, logger)
+	eras := objects.NewEras()
 	g, err := gateway.New(s, gateway.Dependencies{
-		Objects: platform.NewStore(s.Store, registry), Source: platform.Source(), Dialect: platform.Dialect{},
+		Objects: platform.NewStore(s.Store, eras, registry), Eras: eras, Source: platform.Source(), Dialect: platform.Dialect{},
 		Operator: platform.NewOperator(), ReadyPath: platform.ReadyPath, Tracing: telemetry.NoTracing(),
 	}, logger, registry)
 	if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/dotterellink/dotterellink/internal/platform"
 )
 
 // ReturnGrace is how long the entry of a live target may still be missing after
@@ -35,7 +37,9 @@
 	// BornMS is the start time of the incarnation, in Unix milliseconds by the
 	// target's clock; 0 if not announced.
 	BornMS int64
-	Models []HeldModel
+	// Announcements counts the announcements of the incarnation.
+	Announcements int64
+	Models        []HeldModel
 	// InMemory and OnDisk list the models cached by the target.
 	InMemory []string
 	OnDisk   []string
@@ -64,13 +68,15 @@
 	FirstSeenAt time.Time
 	// Lapsed is set while the entry is missing but may return.
 	Lapsed bool
+	// Leaving is set once an answer of this incarnation said that it leaves.
+	Leaving bool
 }
 
 // ColdUntil returns the announced end of the cold start.
 func (t *Target) ColdUntil() time.Time { return t.SeenAt.Add(t.ColdLeft) }
 
 // Usable reports whether the target accepts new work.
-func (t *Target) Usable() bool { return !t.Draining }
+func (t *Target) Usable() bool { return !t.Draining && !t.Leaving }
 
 // View is a snapshot of the table.
 type View struct {
@@ -99,18 +105,29 @@
 type Table struct {
 	view atomic.Pointer[View]
 
-	mu        sync.Mutex
-	targets   map[string]*Target
-	evacuated map[string]bool
-	// storeLost is set while calls to the store fail. storeBackAt is when the store
-	// last recovered.
-	storeLost   bool
-	storeBackAt time.Time
+	mu      sync.Mutex
+	targets map[string]*Target
+	// departed holds the targets that have left, withheld the entries of some of them that
+	// are back.
+	departed map[string]departure
+	withheld map[string]withheld
+	// evacuations are in force, endedEvacuations were last ended, by zone.
+	evacuations      map[string]evacuation
+	endedEvacuations map[string]platform.Version
+	// storeLost is set while calls to the store fail. Until graceUntil, entries may still be
+	// missing after the store has recovered or came back from a copy of itself; the latter
+	// was last at eraChangedAt.
+	storeLost    bool
+	graceUntil   time.Time
+	eraChangedAt time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{targets: make(map[string]*Target), evacuated: make(map[string]bool)}
+	t := &Table{
+		targets: make(map[string]*Target), departed: make(map[string]departure), withheld: make(map[string]withheld),
+		evacuations: make(map[string]evacuation), endedEvacuations: make(map[string]platform.Version),
+	}
 	t.publish()
 	return t
 }
@@ -149,14 +166,22 @@
 
 // upsert requires t.mu.
 func (t *Table) upsert(a Announcement, now time.Time) {
+	old := t.targets[a.ID]
+	if old == nil {
+		var used bool
+		if a, used = t.afterDeparture(a, now); !used {
+			return
+		}
+	}
 	next := &Target{Announcement: a, SeenAt: now, FirstSeenAt: now}
-	if old := t.targets[a.ID]; old != nil {
+	if old != nil {
 		if old.BornMS > a.BornMS {
 			return
 		}
 		if old.BornMS == a.BornMS {
 			next.FirstSeenAt = old.FirstSeenAt
 			next.Draining = next.Draining || old.Draining
+			next.Leaving = old.Leaving
 			if old.ColdLeft == a.ColdLeft {
 				next.SeenAt = old.SeenAt
 			}
@@ -174,12 +199,13 @@
 
 // remove requires t.mu.
 func (t *Table) remove(id string, now time.Time) {
+	delete(t.withheld, id)
 	old := t.targets[id]
 	if old == nil {
 		return
 	}
-	if old.Draining || !t.nearOutage(now) {
-		delete(t.targets, id)
+	if !old.Usable() || !t.nearOutage(now) {
+		t.drop(old, now)
 		return
 	}
 	lapsed := *old
@@ -187,12 +213,16 @@
 	t.targets[id] = &lapsed
 }
 
-// nearOutage reports whether the store is lost or recovered less than ReturnGrace
-// ago. It requires t.mu.
-func (t *Table) nearOutage(now time.Time) bool {
-	return t.storeLost || now.Sub(t.storeBackAt) < ReturnGrace
+// drop requires t.mu. It removes a target that has left.
+func (t *Table) drop(old *Target, now time.Time) {
+	delete(t.targets, old.ID)
+	t.recordDeparture(Departed{ID: old.ID, BornMS: old.BornMS, Announcements: old.Announcements, Final: !old.Usable()}, now)
 }
 
+// nearOutage reports whether the store is lost, or was until a short time ago, so that
+// entries may be missing. It requires t.mu.
+func (t *Table) nearOutage(now time.Time) bool { return t.storeLost || now.Before(t.graceUntil) }
+
 // Replace applies a complete list of entries. Targets that it does not list are
 // removed as by Remove.
 func (t *Table) Replace(all []Announcement, now time.Time) {
@@ -208,6 +238,11 @@
 			t.remove(id, now)
 		}
 	}
+	for id := range t.withheld {
+		if !listed[id] {
+			delete(t.withheld, id)
+		}
+	}
 	t.publish()
 }
 
@@ -225,56 +260,32 @@
 	defer t.mu.Unlock()
 	wasLost := t.storeLost
 	if wasLost {
-		t.storeLost, t.storeBackAt = false, now
+		t.storeLost = false
+		t.extendGrace(now.Add(ReturnGrace))
 	}
 	return wasLost
 }
 
-// Expire removes the lapsed targets, unless the store is lost or recovered less
-// than ReturnGrace ago.
-func (t *Table) Expire(now time.Time) {
+// Expire removes the lapsed targets and evacuations, unless entries may still be missing,
+// and returns the zones that are no longer evacuated.
+func (t *Table) Expire(now time.Time) (ended []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.nearOutage(now) {
-		return
-	}
-	changed := false
-	for id, target := range t.targets {
-		if target.Lapsed {
-			delete(t.targets, id)
-			changed = true
+	t.pruneDeparted(now)
+	changed := t.releaseWithheld(now)
+	if !t.nearOutage(now) {
+		for _, target := range t.targets {
+			if target.Lapsed {
+				t.drop(target, now)
+				changed = true
+			}
 		}
 	}
-	if changed {
+	ended = t.endLapsedEvacuations(now)
+	if changed || len(ended) > 0 {
 		t.publish()
 	}
-}
-
-// Evacuate replaces the set of evacuated zones, which get no new work.
-func (t *Table) Evacuate(zones []string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.evacuated = make(map[string]bool, len(zones))
-	for _, z := range zones {
-		t.evacuated[z] = true
-	}
-	t.publish()
-}
-
-// EvacuateZone adds one zone to the evacuated zones or removes it.
-func (t *Table) EvacuateZone(zone string, evacuated bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	next := make(map[string]bool, len(t.evacuated)+1)
-	for z := range t.evacuated {
-		next[z] = true
-	}
-	delete(next, zone)
-	if evacuated {
-		next[zone] = true
-	}
-	t.evacuated = next
-	t.publish()
+	return ended
 }
 
 // publish rebuilds the view. It requires t.mu.
@@ -282,12 +293,12 @@
 	v := &View{
 		Targets:   make(map[string]*Target, len(t.targets)),
 		ByService: make(map[string][]*Target),
-		Evacuated: t.evacuated,
+		Evacuated: t.evacuatedZones(),
 		holders:   make(map[serviceModel][]*Target),
 	}
 	for id, target := range t.targets {
 		v.Targets[id] = target
-		if target.Usable() && !t.evacuated[target.Zone] {
+		if target.Usable() && !v.Evacuated[target.Zone] {
 			v.ByService[target.Service] = append(v.ByService[target.Service], target)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dotterellink/dotterellink/internal/fleet"
+	"github.com/dotterellink/dotterellink/internal/platform"
 )
 
 var _ = Describe("Table", func() {
@@ -52,6 +53,118 @@
 		Expect(usable()).To(Equal([]string{"t2"}))
 	})
 
+	Context("after the store came back from a copy", func() {
+		later := func(id string, announcements int64) fleet.Announcement {
+			a := announcement(id)
+			a.Announcements = announcements
+			return a
+		}
+
+		It("keeps targets and evacuations whose entries are missing until they may be written again", func() {
+			t.BeginEvacuation(fleet.Evacuation{Zone: "z9", Version: platform.NewVersion(1, 50)})
+			t.EraChanged(now)
+			t.Replace([]fleet.Announcement{announcement("t2")}, now)
+			Expect(t.Evacuate(nil, now)).To(BeEmpty())
+			Expect(usable()).To(Equal([]string{"t1", "t2"}))
+			Expect(t.Expire(now.Add(fleet.EraGrace - time.Millisecond))).To(BeEmpty())
+			Expect(t.View().Evacuated).To(HaveKey("z9"))
+			Expect(usable()).To(Equal([]string{"t1", "t2"}))
+			Expect(t.Expire(now.Add(fleet.EraGrace))).To(Equal([]string{"z9"}))
+			Expect(usable()).To(Equal([]string{"t2"}))
+			Expect(t.View().Evacuated).To(BeEmpty())
+		})
+
+		It("does not use a target that has left and is back in the copy, until it announces itself again", func() {
+			t.Upsert(later("t1", 40), now)
+			t.Remove("t1", now)
+			t.EraChanged(now)
+			t.Replace([]fleet.Announcement{later("t1", 38), announcement("t2")}, now)
+			Expect(usable()).To(Equal([]string{"t2"}))
+			t.Upsert(later("t1", 41), now.Add(time.Second))
+			Expect(usable()).To(Equal([]string{"t1", "t2"}))
+		})
+
+		It("uses a target that had left if the store still lists it when one that is gone would have lapsed", func() {
+			t.Upsert(later("t1", 40), now)
+			t.Remove("t1", now)
+			t.EraChanged(now)
+			t.Replace([]fleet.Announcement{later("t1", 40), announcement("t2")}, now)
+			t.Expire(now.Add(5 * time.Second))
+			Expect(usable()).To(Equal([]string{"t2"}))
+			t.Expire(now.Add(6 * time.Second))
+			Expect(usable()).To(Equal([]string{"t1", "t2"}))
+		})
+
+		It("forgets an entry of the copy that lapses", func() {
+			t.Upsert(later("t1", 40), now)
+			t.Remove("t1", now)
+			t.EraChanged(now)
+			t.Replace([]fleet.Announcement{later("t1", 38), announcement("t2")}, now)
+			t.Remove("t1", now.Add(4*time.Second))
+			t.Expire(now.Add(time.Minute))
+			Expect(usable()).To(Equal([]string{"t2"}))
+		})
+
+		It("keeps a target out that said that it leaves, whatever the copy says, until it starts anew", func() {
+			draining := later("t1", 41)
+			draining.Draining = true
+			t.Upsert(draining, now)
+			t.Remove("t1", now)
+			t.EraChanged(now)
+			t.Replace([]fleet.Announcement{later("t1", 40), announcement("t2")}, now)
+			t.Upsert(later("t1", 99), now.Add(time.Minute))
+			t.Expire(now.Add(2 * time.Minute))
+			Expect(usable()).To(Equal([]string{"t2"}))
+			next := later("t1", 1)
+			next.BornMS = 2
+			t.Upsert(next, now.Add(3*time.Minute))
+			Expect(usable()).To(Equal([]string{"t1", "t2"}))
+		})
+
+		It("takes an evacuation that is back in the copy for ended, and one that is written again for new", func() {
+			t.BeginEvacuation(fleet.Evacuation{Zone: "z1", Version: platform.NewVersion(1, 50)})
+			t.EndEvacuation("z1")
+			t.EraChanged(now)
+			t.Evacuate([]fleet.Evacuation{{Zone: "z1", Version: platform.NewVersion(2, 50)}}, now)
+			Expect(usable()).To(Equal([]string{"t1", "t2"}))
+			t.Evacuate([]fleet.Evacuation{{Zone: "z1", Version: platform.NewVersion(2, 61)}}, now)
+			Expect(usable()).To(BeEmpty())
+		})
+	})
+
+	Context("with a target that says in its answers that it leaves", func() {
+		BeforeEach(func() { Expect(t.MarkLeaving("t1", 1, now)).To(BeTrue()) })
+
+		It("gives it no new work, though the store says that it is well, also after a list or a return", func() {
+			Expect(usable()).To(Equal([]string{"t2"}))
+			t.Upsert(announcement("t1"), now)
+			t.Replace([]fleet.Announcement{announcement("t1"), announcement("t2")}, now)
+			Expect(usable()).To(Equal([]string{"t2"}))
+			t.Remove("t1", now)
+			t.Upsert(announcement("t1"), now)
+			Expect(usable()).To(Equal([]string{"t2"}))
+			Expect(t.MarkLeaving("t1", 1, now)).To(BeFalse(), "known already")
+		})
+
+		It("uses its next run, and ignores a late answer of the run before", func() {
+			next := announcement("t1")
+			next.BornMS = 2
+			t.Upsert(next, now)
+			Expect(usable()).To(Equal([]string{"t1", "t2"}))
+			Expect(t.MarkLeaving("t1", 1, now)).To(BeFalse())
+			Expect(usable()).To(Equal([]string{"t1", "t2"}))
+		})
+
+		It("passes it on to an instance that starts", func() {
+			fresh := fleet.NewTable()
+			fresh.AddDepartures(t.Departures(), now)
+			fresh.Upsert(announcement("t1"), now)
+			fresh.Upsert(announcement("t2"), now)
+			Expect(fresh.View().ByService["s"]).To(HaveLen(1))
+			Expect(t.Leaving()).To(HaveLen(1))
+		})
+	})
+
 	It("keeps a lapsed target that returns", func() {
 		t.StoreLost()
 		t.Replace([]fleet.Announcement{announcement("t2")}, now)
@@ -93,9 +206,9 @@
 	})
 
 	It("gives evacuated zones no new work until they are restored", func() {
-		t.EvacuateZone("z1", true)
+		t.BeginEvacuation(fleet.Evacuation{Zone: "z1", Version: 1})
 		Expect(usable()).To(BeEmpty())
-		t.EvacuateZone("z1", false)
+		t.EndEvacuation("z1")
 		Expect(usable()).To(HaveLen(2))
 	})
 })
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -77,6 +77,22 @@
 	return nil, 0, platform.ErrUnavailable
 }
 
+// countedStore counts lists and watches.
+type countedStore struct {
+	platform.Objects
+	calls atomic.Uint64
+}
+
+func (c *countedStore) List(ctx context.Context, prefix string) ([]platform.Object, platform.Version, error) {
+	c.calls.Add(1)
+	return c.Objects.List(ctx, prefix)
+}
+
+func (c *countedStore) Changes(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Object, platform.Version, error) {
+	c.calls.Add(1)
+	return c.Objects.Changes(ctx, prefix, after, wait)
+}
+
 var _ = Describe("Follower", func() {
 	var store *platformstandin.Store
 	var ctx context.Context
@@ -199,6 +215,48 @@
 		Expect(s.replaced).To(Equal(1), "a list of the version already known changes nothing")
 	})
 
+	It("takes the list of a new era, though its version goes back, with a few calls, and follows objects written again", func() {
+		s, peer := &sink{}, &sink{}
+		counted := &countedStore{Objects: store}
+		other := follower(nil, peer, false, nil)
+		v := put("k/a", "1", 0)
+		store.Copy()
+		put("k/a", "2", v)
+		put("k/lost", "1", 0)
+		f := follower(counted, s, true, func(u follow.Update) { other.Apply(u) })
+		go f.Run(ctx) //nolint:errcheck // Ends with the context.
+		Eventually(func() string { return peer.get("k/lost") }).Should(Equal("1"))
+		time.Sleep(300 * time.Millisecond)
+		before := counted.calls.Load()
+		store.Rewind()
+		o, err := store.Get(ctx, "k/a")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() string { return peer.get("k/a") }).Should(Equal("1"))
+		put("k/a", "again", o.Version)
+		Eventually(func() string { return s.get("k/a") }).Should(Equal("again"))
+		Eventually(func() string { return peer.get("k/a") }).Should(Equal("again"))
+		time.Sleep(time.Second)
+		// A watch each 200 ms, and one list.
+		Expect(counted.calls.Load() - before).To(BeNumerically("<", 15))
+		other.Apply(follow.Update{Prefix: "k/", Full: true, To: uint64(v) + 5, Objects: []follow.Object{{Key: "k/a", Value: []byte("2"), Version: uint64(v) + 1}}})
+		Expect(peer.get("k/a")).To(Equal("again"), "an update of the ended era")
+	})
+
+	It("follows a store that goes back twice in a row", func() {
+		s := &sink{}
+		v := put("k/a", "1", 0)
+		store.Copy()
+		f := follower(store, s, true, func(follow.Update) {})
+		go f.Run(ctx) //nolint:errcheck // Ends with the context.
+		Eventually(func() string { return s.get("k/a") }).Should(Equal("1"))
+		put("k/a", "2", v)
+		Eventually(func() string { return s.get("k/a") }).Should(Equal("2"))
+		store.Rewind()
+		store.Rewind()
+		Eventually(func() string { return s.get("k/a") }).Should(Equal("1"))
+		Expect(platform.Version(f.Version()).Era()).To(Equal(platform.Era(2)))
+	})
+
 	It("compresses updates to a fraction of the size of their objects", func() {
 		var u follow.Update
 		for i := range 60 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,9 @@
 
 // Dependencies are the external systems of an instance.
 type Dependencies struct {
-	Objects  platform.Objects
+	Objects platform.Objects
+	// Eras are the eras of the store behind Objects.
+	Eras     *platform.Eras
 	Source   Source
 	Dialect  call.Dialect
 	Operator call.TargetOperator
@@ -105,7 +107,10 @@
 	// fetchingState is set while catchUp fetches a snapshot from a peer.
 	fetchingState atomic.Bool
 	peerVersions  peerVersions
-	startedAt     time.Time
+	registration  registration
+	// leavingChanged is set if a target said that it leaves since the last status.
+	leavingChanged atomic.Bool
+	startedAt      time.Time
 	// bootstrapped is closed when bootstrapFromPeers has ended.
 	bootstrapped chan struct{}
 
@@ -125,10 +130,12 @@
 	g.quota.Suspend()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.client = upstream.NewClient(registry)
-	g.store = newStoreState(d.Source, g.catalog, g.fleet, g.dispatcher, logger)
+	g.store = newStoreState(d.Source, g.catalog, g.fleet, g.dispatcher, d.Eras, logger)
 	g.wireMesh()
 	g.store.wire(followerConfig{objects: d.Objects, watching: g.watching, leading: g.leading, relay: g.relay})
 	g.wireResidency()
+	g.registration.eras = d.Eras
+	d.Eras.OnChange(func(_, _ platform.Era) { g.registration.checkSoon(time.Now()) })
 	g.wireServer()
 	return g, g.listen()
 }
@@ -154,7 +161,10 @@
 
 func (g *Gateway) wireResidency() {
 	gap := time.Duration(g.settings.Bounds.OrderGapMS) * time.Millisecond
-	g.leases = residency.NewLeases(g.deps.Objects, g.settings.Name, uuid.NewString(), gap, g.exchange, g.log)
+	g.leases = residency.NewLeases(residency.LeasesConfig{
+		Objects: g.deps.Objects, Eras: g.deps.Eras, Self: g.settings.Name, Session: uuid.NewString(), OrderGap: gap,
+		FirstStart: g.settings.Bootstrap, Candidates: g.exchange, Log: g.log,
+	})
 	g.leases.Zone(g.settings.Zone)
 	g.controller = residency.NewController(residency.ControllerConfig{
 		Leases: g.leases, ReachableZones: g.exchange.ReachableZones, Operator: g.deps.Operator, Fleet: g.fleet, Catalog: g.catalog, Demand: g.demand,
@@ -287,7 +297,7 @@
 		now := time.Now()
 		g.client.CloseIdle()
 		g.exchange.UpdateReachability()
-		g.fleet.Expire(now)
+		g.store.expire(now)
 		view := g.fleet.View()
 		g.demand.UpdateRates(now)
 		listed := func(id string) bool { return view.Targets[id] != nil }
@@ -297,6 +307,7 @@
 		g.shareQuota(now)
 		g.trackAccounts(now)
 		g.catchUp(now)
+		g.checkRegistration(ctx, now)
 	}
 	return ctx.Err()
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -121,7 +121,7 @@
 		s.Listen = gateway.ListenSettings{Callers: freeAddress(), Ready: freeAddress(), Mesh: freeAddress()}
 		s.Drain.GraceSeconds = 3
 		g, err := gateway.New(s, gateway.Dependencies{
-			Objects: objects, Source: platform.Source(), Dialect: platform.Dialect{}, Operator: platform.NewOperator(),
+			Objects: objects, Eras: port.NewEras(), Source: platform.Source(), Dialect: platform.Dialect{}, Operator: platform.NewOperator(),
 			ReadyPath: platform.ReadyPath, Tracing: telemetry.NoTracing(),
 		}, telemetry.Discard(), prometheus.NewRegistry())
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/introduce.go
+++ b/internal/gateway/introduce.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/dotterellink/dotterellink/internal/follow"
 	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/pause"
-	"github.com/dotterellink/dotterellink/internal/platform"
 )
 
 const (
@@ -103,64 +100,6 @@
 	}
 }
 
-const (
-	// memberPrefix is the prefix of the objects of the instances, one for each.
-	memberPrefix = "members/"
-	// memberListInterval is the time between requests to a peer for its list of
-	// instances. New instances announce themselves; the list adds those whose status
-	// did not arrive here.
-	memberListInterval = 20 * time.Second
-)
-
-// member is the stored entry of an instance.
-type member struct {
-	Zone    string `json:"zone"`
-	Address string `json:"address"`
-}
-
-// register reads the entries of all instances and writes the entry of this one if it
-// differs or is missing. Each call is priced, and a restarted instance finds its own
-// entry.
-func (g *Gateway) register(ctx context.Context) error {
-	own := member{Zone: g.settings.Zone, Address: g.settings.Listen.advertisedMesh()}
-	list, _, err := g.deps.Objects.List(ctx, memberPrefix)
-	if err != nil {
-		g.log.WithError(err).Info("gateway: Cannot list instances in the store.")
-		return err
-	}
-	stored, version := g.addMembers(list)
-	if stored == own {
-		return nil
-	}
-	value, err := json.Marshal(own)
-	if err != nil {
-		return err
-	}
-	if _, err := g.deps.Objects.Put(ctx, memberPrefix+g.settings.Name, value, version); err != nil {
-		g.log.WithError(err).Info("gateway: Cannot register this instance in the store yet.")
-		return err
-	}
-	return nil
-}
-
-// addMembers adds the instances of a list as peers, and returns the entry of this one.
-func (g *Gateway) addMembers(list []platform.Object) (own member, version platform.Version) {
-	var found []mesh.PeerAddress
-	for _, o := range list {
-		var m member
-		if err := json.Unmarshal(o.Value, &m); err != nil {
-			g.log.WithField("member", follow.NameOf(o.Key)).WithError(err).Warn("gateway: Cannot decode entry of instance.")
-			continue
-		}
-		if follow.NameOf(o.Key) == g.settings.Name {
-			own, version = m, o.Version
-		}
-		found = append(found, mesh.PeerAddress{Peer: mesh.Peer{Name: follow.NameOf(o.Key), Zone: m.Zone}, Address: m.Address})
-	}
-	g.exchange.Add(found)
-	return own, version
-}
-
 // queryPeers fetches snapshots from peers while this instance has no configuration, and
 // then their list of instances. The list comes last because it replaces the connections
 // to seeds.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -18,6 +18,9 @@
 	Listen ListenSettings `json:"listen"`
 	// Seeds are mesh addresses at which other instances may be found.
 	Seeds []string `json:"seeds"`
+	// Bootstrap is set if the whole system starts for the first time, so that no earlier
+	// instance can still rely on a lease.
+	Bootstrap bool `json:"bootstrap"`
 	// Store is the address of the platform's store, IP:PORT.
 	Store  string        `json:"store"`
 	Log    LogSettings   `json:"log"`
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterellink/dotterellink/internal/allowance"
+	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/follow"
 	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/platform"
@@ -23,6 +24,8 @@
 	AgeMS int64 `msgpack:"a"`
 	// Levels are what the peer believes to be left of the accounts' units.
 	Levels []allowance.AccountLevel `msgpack:"q,omitempty"`
+	// Departed are the targets that leave or have left, as the peer knows.
+	Departed []fleet.Departed `msgpack:"d,omitempty"`
 }
 
 // maxFreshSnapshotAge is the age up to which the snapshot of a peer counts as fresh. It
@@ -52,7 +55,7 @@
 		}
 		s.packedUpdates, s.packedVersions = updates, versions
 	}
-	return &snapshot{Updates: s.packedUpdates, AgeMS: oldest.Milliseconds()}, nil
+	return &snapshot{Updates: s.packedUpdates, AgeMS: oldest.Milliseconds(), Departed: s.fleet.Departures()}, nil
 }
 
 // snapshotVersions are the store versions of the followers and the version of the
@@ -98,9 +101,8 @@
 			add(o)
 		}
 	case s.source.EvacuationPrefix:
-		for zone := range s.fleet.View().Evacuated {
-			// The fleet keeps no versions. 1 is not above any version of the store.
-			add(platform.Object{Key: prefix + zone, Version: 1})
+		for _, e := range s.fleet.Evacuations() {
+			add(platform.Object{Key: prefix + e.Zone, Version: e.Version})
 		}
 	}
 	return out
@@ -110,17 +112,19 @@
 // does not answer. It applies a newer configuration in any case.
 func (s *storeState) applySnapshot(snap *snapshot, now time.Time) {
 	age := time.Duration(snap.AgeMS) * time.Millisecond
+	s.fleet.AddDepartures(snap.Departed, now)
 	for _, body := range snap.Updates {
 		u, err := follow.DecodeUpdate(body)
 		if err != nil {
 			s.log.WithError(err).Warn("gateway: Ignoring undecodable snapshot.")
 			return
 		}
+		ended := s.eras.Hear(platform.Version(u.To).Era()) != nil
 		for _, f := range s.followers() {
 			if f.Prefix != u.Prefix {
 				continue
 			}
-			if age <= maxFreshSnapshotAge && u.To > 0 && f.Version() == 0 {
+			if !ended && age <= maxFreshSnapshotAge && u.To > 0 && f.Version() == 0 {
 				f.Apply(u)
 				s.catalog.Confirm(now.Add(-age))
 				continue
@@ -145,6 +149,6 @@
 		return
 	}
 	for _, o := range list {
-		s.fleet.EvacuateZone(follow.NameOf(o.Key), true)
+		s.fleet.BeginEvacuation(evacuationOf(o))
 	}
 }
--- a/internal/gateway/snapshot_test.go
+++ b/internal/gateway/snapshot_test.go
@@ -21,7 +21,7 @@
 			ConfigPrefix: "c/", ConfigKey: "c/main", TargetPrefix: "t/", EvacuationPrefix: "e/",
 			DecodeConfig: func(v []byte) (*catalog.State, error) { return &catalog.State{Version: int64(v[0])}, nil },
 			DecodeTarget: func(id string, _ []byte) (fleet.Announcement, error) { return fleet.Announcement{ID: id}, nil },
-		}, catalog.NewHolder(), fleet.NewTable(), dispatch.NewDispatcher(), telemetry.Discard())
+		}, catalog.NewHolder(), fleet.NewTable(), dispatch.NewDispatcher(), platform.NewEras(), telemetry.Discard())
 		s.wire(followerConfig{})
 		return s
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -32,6 +32,7 @@
 	catalog    *catalog.Holder
 	fleet      *fleet.Table
 	dispatcher *dispatch.Dispatcher
+	eras       *platform.Eras
 	log        log.Interface
 
 	config, targets, evacuations *follow.Follower
@@ -69,8 +70,10 @@
 	relay    func(u follow.Update)
 }
 
-func newStoreState(source Source, c *catalog.Holder, f *fleet.Table, d *dispatch.Dispatcher, logger log.Interface) *storeState {
-	return &storeState{source: source, catalog: c, fleet: f, dispatcher: d, log: logger, rawTargets: make(map[string]platform.Object)}
+func newStoreState(source Source, c *catalog.Holder, f *fleet.Table, d *dispatch.Dispatcher, eras *platform.Eras, logger log.Interface) *storeState {
+	s := &storeState{source: source, catalog: c, fleet: f, dispatcher: d, eras: eras, log: logger, rawTargets: make(map[string]platform.Object)}
+	eras.OnChange(s.enterEra)
+	return s
 }
 
 // wire creates the followers.
@@ -93,6 +96,9 @@
 
 // applyUpdate applies an update of the watcher.
 func (s *storeState) applyUpdate(u follow.Update) {
+	if s.eras.Hear(platform.Version(u.To).Era()) != nil {
+		return
+	}
 	for _, f := range s.followers() {
 		if f.Prefix == u.Prefix {
 			f.Apply(u)
@@ -246,28 +252,41 @@
 }
 
 func (s *storeState) replaceEvacuations(list []platform.Object, now time.Time) {
-	before := s.fleet.View().Evacuated
-	var zones []string
+	var all []fleet.Evacuation
 	for _, o := range list {
-		zones = append(zones, follow.NameOf(o.Key))
+		all = append(all, evacuationOf(o))
 	}
-	s.fleet.Evacuate(zones)
-	after := s.fleet.View().Evacuated
-	for zone := range before {
-		if !after[zone] {
-			s.evacuationEnded(zone, now)
-		}
+	for _, zone := range s.fleet.Evacuate(all, now) {
+		s.evacuationEnded(zone, now)
 	}
 }
 
+func evacuationOf(o platform.Object) fleet.Evacuation {
+	return fleet.Evacuation{Zone: follow.NameOf(o.Key), Version: o.Version}
+}
+
 func (s *storeState) applyEvacuation(o platform.Object, now time.Time) {
-	zone := follow.NameOf(o.Key)
-	s.fleet.EvacuateZone(zone, !o.Deleted)
+	e := evacuationOf(o)
 	if o.Deleted {
-		s.evacuationEnded(zone, now)
+		s.fleet.EndEvacuation(e.Zone)
+		s.evacuationEnded(e.Zone, now)
 		return
 	}
-	s.log.WithField("zone", zone).Info("gateway: Zone evacuated.")
+	s.fleet.BeginEvacuation(e)
+	s.log.WithField("zone", e.Zone).Info("gateway: Zone evacuated.")
+}
+
+// expire drops what is still missing in the store after an outage or a new era.
+func (s *storeState) expire(now time.Time) {
+	for _, zone := range s.fleet.Expire(now) {
+		s.evacuationEnded(zone, now)
+	}
+}
+
+// enterEra records that the store came back from a copy of itself.
+func (s *storeState) enterEra(before, era platform.Era) {
+	s.fleet.EraChanged(time.Now())
+	s.log.WithFields(log.Fields{"before": int(before), "era": int(era)}).Warn("gateway: Store came back from a copy, leases and entries written since are given up.")
 }
 
 // evacuationEnded marks the targets of a zone that is no longer evacuated as suspected to
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -19,6 +19,10 @@
 		s.StateVersion = state.Version
 	}
 	s.StoreLost = g.store.storeIsLost()
+	s.StoreEra = g.deps.Eras.Current()
+	if full || g.leavingChanged.Swap(false) {
+		s.Departing = g.fleet.Leaving()
+	}
 	s.Loads, s.PrefixUpdates = g.dispatcher.TakeUpdates(full, time.Now())
 	g.recordAdapterUse(s.PrefixUpdates)
 	s.AllCounts = g.fullCountsDue()
@@ -33,6 +37,11 @@
 // onStatus applies the status of a peer.
 func (g *Gateway) onStatus(from peers.Peer, s *peers.Status, newRun bool) {
 	now := time.Now()
+	if g.deps.Eras.Hear(s.StoreEra) != nil {
+		// The peer has not heard of the new era yet. What it says of leases is void.
+		s.Held, s.Ended = nil, nil
+	}
+	g.fleet.AddDepartures(s.Departing, now)
 	g.dispatcher.ApplyPeerUpdate(from.Name, s.Loads, s.PrefixUpdates, now)
 	g.quota.ApplyPeerSpending(s.Run, s.Spent, s.AllCounts, now)
 	g.demand.Observe(s.Run, s.Demand, s.AllCounts, now)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -90,6 +90,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if u.Prefix == memberPrefix {
+		g.applyMembers(u)
+		return nil, nil
+	}
 	g.store.applyUpdate(u)
 	return nil, nil
 }
@@ -109,6 +113,8 @@
 	version int64
 	peer    string
 	at      time.Time
+	// asked is set once the version was overdue.
+	asked bool
 }
 
 // catchUpDelay is how long an instance waits for an update of the watcher after a peer
@@ -121,23 +127,25 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if version > v.latest.version {
-		v.latest = reportedVersion{version, peer, now}
+		v.latest = reportedVersion{version: version, peer: peer, at: now}
 	}
 }
 
 // overdue returns the peer that reported the awaited version, if that is newer than
-// version and was reported catchUpDelay ago or earlier, and restarts the delay.
-func (v *peerVersions) overdue(version int64, now time.Time) (peer string, ok bool) {
+// version and was reported catchUpDelay ago or earlier, and restarts the delay. again is
+// set if it did so before for the same version.
+func (v *peerVersions) overdue(version int64, now time.Time) (peer string, again, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.awaited.version <= version {
 		v.awaited = v.latest
 	}
 	if v.awaited.version <= version || now.Sub(v.awaited.at) < catchUpDelay {
-		return "", false
+		return "", false, false
 	}
-	v.awaited.at = now
-	return v.awaited.peer, true
+	again = v.awaited.asked
+	v.awaited.at, v.awaited.asked = now, true
+	return v.awaited.peer, again, true
 }
 
 // catchUp reads the configuration from the store if a peer reported a newer version that
@@ -147,11 +155,12 @@
 	if state := g.catalog.Current(); state != nil {
 		version = state.Version
 	}
-	peer, overdue := g.peerVersions.overdue(version, now)
+	peer, again, overdue := g.peerVersions.overdue(version, now)
 	if !overdue {
 		return
 	}
-	if !g.store.storeIsLost() {
+	// A store that came back from a copy may lack what the peer has.
+	if !g.store.storeIsLost() && !again {
 		g.store.config.Refresh()
 		return
 	}
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -60,7 +60,7 @@
 			if updateDelay > 0 {
 				inForce += int64(now.Sub(start)-updateDelay) / int64(50*time.Millisecond)
 			}
-			if _, overdue := v.overdue(max(1, inForce), now); overdue {
+			if _, _, overdue := v.overdue(max(1, inForce), now); overdue {
 				count++
 			}
 		}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -151,6 +151,9 @@
 	s.holding, s.observedAt = false, time.Time{}
 }
 
+// Era returns the newest known era of the store.
+func (s *State) Era() platform.Era { return s.era }
+
 // Observe applies the result of a read that returned at the given time. A version with
 // revision 0 means that no record exists. Versions that are not newer are ignored.
 func (s *State) Observe(r Record, version uint64, at time.Time) {
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -3,7 +3,9 @@
 import (
 	"github.com/dotterellink/dotterellink/internal/allowance"
 	"github.com/dotterellink/dotterellink/internal/dispatch"
+	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/lease"
+	"github.com/dotterellink/dotterellink/internal/platform"
 )
 
 // Status is the message that an instance sends to its peers.
@@ -21,6 +23,10 @@
 	StateVersion int64 `msgpack:"v"`
 	// StoreLost is set while the store does not answer the instance.
 	StoreLost bool `msgpack:"sl,omitempty"`
+	// StoreEra is the newest era of the store that the instance knows of.
+	StoreEra platform.Era `msgpack:"se,omitempty"`
+	// Departing are the targets that said in their answers that they leave.
+	Departing []fleet.Departed `msgpack:"dp,omitempty"`
 
 	Loads         []dispatch.TargetLoad   `msgpack:"ld,omitempty"`
 	PrefixUpdates []dispatch.PrefixUpdate `msgpack:"rd,omitempty"`
--- a/internal/platform/era.go
+++ b/internal/platform/era.go
@@ -47,7 +47,17 @@
 // It must be called before the first Learn.
 func (e *Eras) OnChange(f func(before, now Era)) { e.onChange = append(e.onChange, f) }
 
-// Learn records an era and returns ErrEraEnded if a newer one is known.
+// Hear records the era of something that a peer sent, and returns ErrEraEnded if a newer
+// one is known. A peer that knows of no era sends 0.
+func (e *Eras) Hear(era Era) error {
+	if era == 0 && !e.Known() {
+		return nil
+	}
+	return e.Learn(era)
+}
+
+// Learn records the era of an answer of the store, and returns ErrEraEnded if a newer one
+// is known.
 func (e *Eras) Learn(era Era) error {
 	e.mu.Lock()
 	if e.known && era < e.current {
@@ -71,3 +81,10 @@
 	defer e.mu.Unlock()
 	return e.current
 }
+
+// Known reports whether any era is known.
+func (e *Eras) Known() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known
+}
--- a/internal/residency/holder.go
+++ b/internal/residency/holder.go
@@ -87,18 +87,31 @@
 }
 
 // NewZoneLease returns a ZoneLease that is not held. The orders of two holders are at
-// least orderGap apart.
-func NewZoneLease(objects platform.Objects, zone, self, session string, orderGap time.Duration, rank func() int, logger log.Interface) *ZoneLease {
+// least orderGap apart. firstStart is set if no earlier run of any instance can hold it.
+func NewZoneLease(objects platform.Objects, zone, self, session string, orderGap time.Duration, firstStart bool, rank func() int, logger log.Interface) *ZoneLease {
 	return &ZoneLease{
 		objects: objects, zone: zone, session: session, rank: rank, now: boottime.Now, orderGap: orderGap,
 		log:         logger.WithField("zone", zone),
 		lastOrderAt: make(map[string]time.Time),
 		state: lease.NewTimedState(self, session, lease.Timing{
-			Duration: leaseDuration, RenewInterval: renewInterval, HolderResumes: true,
+			Duration: leaseDuration, RenewInterval: renewInterval, HolderResumes: true, FirstStart: firstStart,
 		}),
 	}
 }
 
+// EnterEra records that the store has an era.
+func (z *ZoneLease) EnterEra(era platform.Era) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	now := z.now()
+	held := z.state.Held(now)
+	z.state.EnterEra(era, now)
+	if held && !z.state.Held(now) {
+		z.wasHeld, z.endedAt, z.observedAt = false, now, time.Time{}
+		z.log.WithFields(log.Fields{"era": int(era), "token": z.state.Token()}).Warn("residency: Placement lease of an ended era given up.")
+	}
+}
+
 // Observe applies the lease as reported by its holder.
 func (z *ZoneLease) Observe(l peers.HeldLease) {
 	z.mu.Lock()
@@ -248,7 +261,7 @@
 	defer z.mu.Unlock()
 	z.observedAt = z.now()
 	if errors.Is(err, platform.ErrNotFound) {
-		z.state.Observe(lease.Record{}, 0, z.now())
+		z.state.Observe(lease.Record{}, uint64(platform.NewVersion(z.state.Era(), 0)), z.now())
 		return
 	}
 	if err != nil {
@@ -282,7 +295,7 @@
 		z.writeFailedAt = z.now()
 		z.mu.Unlock()
 		z.log.WithField("action", int(action)).WithError(err).Info("residency: Failed to write placement lease.")
-		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) {
+		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) || errors.Is(err, platform.ErrNotFound) {
 			z.read(ctx)
 		}
 		return
@@ -291,7 +304,7 @@
 	defer z.mu.Unlock()
 	now := z.now()
 	z.state.ApplyWrite(action, record, uint64(object.Version), sentAt, now)
-	if action == lease.Acquire {
+	if action == lease.Acquire && z.state.Held(now) {
 		z.ordersAllowedAt = now
 		// The first token has no previous holder. A lease resumed from an earlier run of
 		// this instance needs no gap, as its orders came from the same machine.
--- a/internal/residency/holder_test.go
+++ b/internal/residency/holder_test.go
@@ -33,7 +33,7 @@
 	ctx := context.Background()
 
 	newLease := func(self, session string, rank int) *ZoneLease {
-		z := NewZoneLease(store, "z1", self, session, orderGap, func() int { return rank }, telemetry.Discard())
+		z := NewZoneLease(store, "z1", self, session, orderGap, false, func() int { return rank }, telemetry.Discard())
 		z.now = func() time.Time { return now }
 		return z
 	}
--- a/internal/residency/keeper_test.go
+++ b/internal/residency/keeper_test.go
@@ -18,6 +18,7 @@
 	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/peers"
+	"github.com/dotterellink/dotterellink/internal/platform"
 	"github.com/dotterellink/dotterellink/internal/standin/platformstandin"
 	"github.com/dotterellink/dotterellink/internal/telemetry"
 )
@@ -189,7 +190,10 @@
 		}
 		demand = NewDemand()
 		store := platformstandin.NewStore(clockwork.NewRealClock(), 1)
-		leases := NewLeases(store, "i1", "run1", 100*time.Millisecond, onlyCandidate{}, telemetry.Discard())
+		leases := NewLeases(LeasesConfig{
+			Objects: store, Eras: platform.NewEras(), Self: "i1", Session: "run1", OrderGap: 100 * time.Millisecond,
+			Candidates: onlyCandidate{}, Log: telemetry.Discard(),
+		})
 		leases.Zone("z")
 		node := mesh.NewNode(mesh.Peer{Name: "i1", Zone: "z"}, nil, telemetry.Discard())
 		controller = NewController(ControllerConfig{
--- a/internal/residency/leases.go
+++ b/internal/residency/leases.go
@@ -35,6 +35,9 @@
 	candidates Candidates
 	log        log.Interface
 
+	eras       *platform.Eras
+	firstStart bool
+
 	mu     sync.Mutex
 	byZone map[string]*ZoneLease
 }
@@ -45,10 +48,28 @@
 	Candidates(zone string) (rank int, local bool)
 }
 
-// NewLeases returns an empty Leases. The orders of two holders are at least orderGap
-// apart.
-func NewLeases(objects platform.Objects, self, session string, orderGap time.Duration, candidates Candidates, logger log.Interface) *Leases {
-	return &Leases{objects: objects, self: self, session: session, orderGap: orderGap, candidates: candidates, log: logger, byZone: make(map[string]*ZoneLease)}
+// LeasesConfig holds the settings and dependencies of Leases.
+type LeasesConfig struct {
+	Objects platform.Objects
+	Eras    *platform.Eras
+	// Self is the name of the instance, Session identifies its process run.
+	Self, Session string
+	// OrderGap is the minimum time between the orders of two instances to a target.
+	OrderGap time.Duration
+	// FirstStart is set if the whole system starts for the first time.
+	FirstStart bool
+	Candidates Candidates
+	Log        log.Interface
+}
+
+// NewLeases returns an empty Leases, which gives up leases of ended eras.
+func NewLeases(c LeasesConfig) *Leases {
+	l := &Leases{
+		objects: c.Objects, eras: c.Eras, self: c.Self, session: c.Session, orderGap: c.OrderGap, firstStart: c.FirstStart,
+		candidates: c.Candidates, log: c.Log, byZone: make(map[string]*ZoneLease),
+	}
+	c.Eras.OnChange(func(_, era platform.Era) { l.enterEra(era) })
+	return l
 }
 
 // Zone returns the lease of a zone and creates it if necessary.
@@ -57,7 +78,10 @@
 	defer l.mu.Unlock()
 	z := l.byZone[zone]
 	if z == nil {
-		z = NewZoneLease(l.objects, zone, l.self, l.session, l.orderGap, func() int { return l.rank(zone) }, l.log)
+		z = NewZoneLease(l.objects, zone, l.self, l.session, l.orderGap, l.firstStart, func() int { return l.rank(zone) }, l.log)
+		if l.eras.Known() {
+			z.EnterEra(l.eras.Current())
+		}
 		l.byZone[zone] = z
 	}
 	return z
@@ -149,6 +173,14 @@
 	}
 }
 
+// enterEra records that the store came back from a copy of itself. Leases of the ended era
+// allow no order from now on.
+func (l *Leases) enterEra(era platform.Era) {
+	for _, z := range l.zoneLeases() {
+		z.EnterEra(era)
+	}
+}
+
 // Release releases all leases at a planned stop.
 func (l *Leases) Release(ctx context.Context) {
 	var group sync.WaitGroup
--- a/internal/standin/platformstandin/store.go
+++ b/internal/standin/platformstandin/store.go
@@ -74,6 +74,9 @@
 	stats     Stats
 	reads     *rate.Limiter
 	writes    *rate.Limiter
+	// copied and copiedVersion are the copy that Rewind returns to.
+	copied        map[string]entry
+	copiedVersion platform.Version
 }
 
 var (
@@ -158,6 +161,47 @@
 	return append([]platform.InstanceRecord(nil), s.listed...), nil
 }
 
+// Era returns the era of the store.
+func (s *Store) Era() platform.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version.Era()
+}
+
+// Copy makes a copy of the store, to which Rewind returns.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied, s.copiedVersion = make(map[string]entry, len(s.entries)), s.version
+	for key, e := range s.entries {
+		s.copied[key] = *e
+	}
+}
+
+// Rewind brings the store back from its copy, in a new era. Revisions since the copy are
+// given out again, and watches that wait end.
+func (s *Store) Rewind() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := s.version.Era() + 1
+	in := func(v platform.Version) platform.Version {
+		if v == 0 {
+			return 0
+		}
+		return platform.NewVersion(era, v.Revision())
+	}
+	s.version, s.entries = in(s.copiedVersion), make(map[string]*entry, len(s.copied))
+	if s.version == 0 {
+		s.version = platform.NewVersion(era, 0)
+	}
+	for key, e := range s.copied {
+		e.current.Version, e.previous.Version = in(e.current.Version), in(e.previous.Version)
+		s.entries[key] = &e
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Get implements platform.Objects.
 func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
 	if err := s.begin(ctx, s.reads, &s.stats.Reads); err != nil {
@@ -209,6 +253,9 @@
 		if failed {
 			return nil, 0, merry.Wrap(platform.ErrUnavailable)
 		}
+		if after.Era() != version.Era() || after > version {
+			return nil, 0, merry.Wrap(platform.ErrHistoryGone)
+		}
 		if len(objects) > 0 {
 			return objects, version, nil
 		}
@@ -246,7 +293,8 @@
 	if e == nil {
 		e = &entry{}
 	}
-	if e.version() != expected {
+	// The platform compares revisions and knows of no era in a write.
+	if e.version().Revision() != expected.Revision() {
 		s.stats.Conflicts++
 		return platform.Object{}, merry.Wrap(platform.ErrConflict)
 	}
