Targets that say that they leave, or that they want no requests for a while

Cause: no code read either header. A target that announced its leaving in its answers went on getting calls until its entry said so, and one that asked for a pause got retries, orders and reports all the while. Change: call.Notice carries both from any answer (calls, orders, reports). A leaving run gets no new work, whatever the store says, until another run (other start time) is announced; peers and instances that start hear of it, as its models have to be placed elsewhere and its streams end soon. A target that wants a pause counts as without room at this instance only: no calls, orders or reports; where all targets are so, callers are refused at once with the time that remains. Delays that are no positive number count as none, longer ones than a minute as a minute.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -81,6 +81,17 @@
 	Running, Waiting, Slots int
 	// ColdLeft is how long the target stays cold; 0 if it did not say.
 	ColdLeft time.Duration
+	Notice
+}
+
+// Notice is what any answer of a target, also to an order or a request for its report, may
+// say about the target.
+type Notice struct {
+	// Leaving is set if the target is about to leave and wants no new work.
+	Leaving bool
+	// RetryAfter is how long the target, which is overloaded, wants no further request from
+	// this instance; 0 if it did not say.
+	RetryAfter time.Duration
 }
 
 // Dialect translates between HTTP messages and calls.
@@ -141,6 +152,6 @@
 
 // TargetOperator sends orders to targets and requests their reports.
 type TargetOperator interface {
-	Order(address, targetID string, o Order, timeout time.Duration) (OrderResult, error)
-	Report(address, targetID string, timeout time.Duration) (fleet.Report, error)
+	Order(address, targetID string, o Order, timeout time.Duration) (OrderResult, Notice, error)
+	Report(address, targetID string, timeout time.Duration) (fleet.Report, Notice, error)
 }
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -85,6 +85,8 @@
 	// notHeldAt is when a call last found that the target does not hold a model or
 	// adapter, by MODEL/ADAPTER.
 	notHeldAt map[string]time.Time
+	// quietUntil is until when the target wants no requests of this instance.
+	quietUntil time.Time
 	// mayBeColdSince is when the target may have become cold without announcing it.
 	mayBeColdSince time.Time
 	lastSentAt     time.Time
@@ -388,11 +390,37 @@
 	defer d.mu.Unlock()
 	s := d.state(id)
 	s.cache = newPrefixCache()
-	s.connectBackoff, s.downUntil = 0, time.Time{}
+	s.connectBackoff, s.downUntil, s.quietUntil = 0, time.Time{}, time.Time{}
 	clear(s.peerDownUntil)
 	clear(s.notHeldAt)
 }
 
+// maxQuiet bounds the time for which a target gets no requests because it said so. A target
+// that names more would otherwise be lost by a single mistaken answer.
+const maxQuiet = time.Minute
+
+// Quiet records that a target wants no requests of this instance for a while, at most
+// maxQuiet, and returns that time.
+func (d *Dispatcher) Quiet(id string, wanted time.Duration, now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	wanted = min(wanted, maxQuiet)
+	if until := now.Add(wanted); until.After(d.state(id).quietUntil) {
+		d.state(id).quietUntil = until
+	}
+	return wanted
+}
+
+// QuietFor returns how much longer a target wants no requests of this instance.
+func (d *Dispatcher) QuietFor(id string, now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.targets[id]; s != nil {
+		return max(0, s.quietUntil.Sub(now))
+	}
+	return 0
+}
+
 // SuspectCold records that a target may have become cold without announcing it.
 func (d *Dispatcher) SuspectCold(id string, now time.Time) {
 	d.mu.Lock()
@@ -406,7 +434,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, s := range d.targets {
-		if !listed(id) && s.own.Running == 0 && now.Sub(s.lastSentAt) > peerLoadTTL {
+		if !listed(id) && s.own.Running == 0 && now.Sub(s.lastSentAt) > peerLoadTTL && !now.Before(s.quietUntil) {
 			delete(d.targets, id)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,7 @@
 	fetchingState atomic.Bool
 	peerVersions  peerVersions
 	registration  registration
+	notices       noticeMetrics
 	// leavingChanged is set if a target said that it leaves since the last status.
 	leavingChanged atomic.Bool
 	startedAt      time.Time
@@ -129,7 +130,7 @@
 	}
 	g.quota.Suspend()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	g.client = upstream.NewClient(registry)
+	g.client, g.notices = upstream.NewClient(registry), newNoticeMetrics(registry)
 	g.store = newStoreState(d.Source, g.catalog, g.fleet, g.dispatcher, d.Eras, logger)
 	g.wireMesh()
 	g.store.wire(followerConfig{objects: d.Objects, watching: g.watching, leading: g.leading, relay: g.relay})
@@ -169,7 +170,8 @@
 	g.controller = residency.NewController(residency.ControllerConfig{
 		Leases: g.leases, ReachableZones: g.exchange.ReachableZones, Operator: g.deps.Operator, Fleet: g.fleet, Catalog: g.catalog, Demand: g.demand,
 		View: g.view, Node: g.node, Log: g.log, Metrics: g.registry, TriggerBroadcast: g.exchange.TriggerBroadcast,
-		Work: func(id string) time.Duration { return g.dispatcher.Waiting(id, time.Now()) },
+		Work:     func(id string) time.Duration { return g.dispatcher.Waiting(id, time.Now()) },
+		OnNotice: g.onNotice, Quiet: func(id string) bool { return g.dispatcher.QuietFor(id, time.Now()) > 0 },
 	})
 }
 
@@ -181,7 +183,7 @@
 		Upstream: g.client, Quota: g.quota,
 		Retries:   allowance.NewRetryBudget(allowance.RetryBounds{Window: seconds(b.RetryWindowSeconds), Ratio: b.RetryRatio, Slack: b.RetrySlack}),
 		Cold:      g.cold,
-		Residency: placement{g}, Members: members{g.exchange, g}, Log: g.log, Tracer: g.deps.Tracing.Tracer,
+		Residency: placement{g}, Members: members{g.exchange, g}, OnNotice: g.onNotice, Log: g.log, Tracer: g.deps.Tracing.Tracer,
 		Metrics: g.registry, Now: time.Now,
 	})
 }
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -35,6 +35,7 @@
 	}
 	defer response.Close()
 	outcome := f.Dialect.Outcome(response.Status, response.Header)
+	f.OnNotice(pick.Target, outcome.Notice)
 	switch {
 	case outcome.NotRun:
 		return f.attemptRejected(ticket, response, outcome)
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -66,7 +66,10 @@
 	pick, ok := f.Dispatcher.Pick(candidates, f.query(service, now))
 	if !ok {
 		f.logNoTargetFree(candidates)
-		f.giveUp("no_target_free", max(wait, noTargetRetryAfter))
+		if wait == 0 {
+			wait = noTargetRetryAfter
+		}
+		f.giveUp("no_target_free", wait)
 		return dispatch.Pick{}, false
 	}
 	// Work that is refused counts too: it shows that the model needs more copies.
@@ -112,13 +115,19 @@
 }
 
 // candidates returns the targets that hold the model of the call. It also returns the
-// shortest wait for a target that is limited by its cold start, zero if there is none.
+// shortest wait for a target that is limited by its cold start or wants no requests for
+// now, zero if there is none.
 func (f *forwarder) candidates(service *catalog.Service) ([]dispatch.Candidate, time.Duration) {
 	now := f.Now()
 	names := f.Members.Names()
 	maxOpen := max(1, int(connectionShare*float64(service.MaxConnections))/max(1, len(names)))
 	var out []dispatch.Candidate
 	var wait time.Duration
+	limitedFor := func(w time.Duration) {
+		if w > 0 && (wait == 0 || w < wait) {
+			wait = w
+		}
+	}
 	for _, t := range f.Fleet.View().Holders(f.service, f.call.Model) {
 		hasModel, hasAdapter := f.Residency.Holds(t, f.call.Model, f.call.Adapter)
 		if !hasModel {
@@ -131,11 +140,13 @@
 			share := f.coldShare(t.ID, service)
 			if !f.Cold.HasCapacity(t.ID, share, now) {
 				c.Limited = true
-				if w := f.Cold.TimeToCapacity(t.ID, share, now); w > 0 && (wait == 0 || w < wait) {
-					wait = w
-				}
+				limitedFor(f.Cold.TimeToCapacity(t.ID, share, now))
 			}
 		}
+		if left := f.Dispatcher.QuietFor(t.ID, now); left > 0 {
+			c.Limited = true
+			limitedFor(left)
+		}
 		out = append(out, c)
 	}
 	return out, wait
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -86,10 +86,12 @@
 	Cold       *allowance.ColdLimiter
 	Residency  Residency
 	Members    Members
-	Log        log.Interface
-	Tracer     trace.Tracer
-	Metrics    prometheus.Registerer
-	Now        func() time.Time
+	// OnNotice is called with what an answer of a target says about the target.
+	OnNotice func(t *fleet.Target, n call.Notice)
+	Log      log.Interface
+	Tracer   trace.Tracer
+	Metrics  prometheus.Registerer
+	Now      func() time.Time
 }
 
 // Server forwards the calls of callers to targets. It implements http.Handler.
--- a/internal/passthrough/server_test.go
+++ b/internal/passthrough/server_test.go
@@ -298,6 +298,59 @@
 		})
 	})
 
+	It("sends no further call to a target that says in any answer that it leaves", func() {
+		publish(nil)
+		targets[0].handler = func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Leaving", "1")
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		for targets[0].calls.Load() == 0 {
+			status()
+		}
+		for range 20 {
+			Expect(status()).To(Equal(http.StatusOK))
+		}
+		// The store still says that the target is well.
+		table.Replace([]fleet.Announcement{table.View().Targets["t0"].Announcement, table.View().Targets["t1"].Announcement}, time.Now())
+		for range 20 {
+			Expect(status()).To(Equal(http.StatusOK))
+		}
+		Expect(targets[0].calls.Load()).To(Equal(int32(1)))
+	})
+
+	It("sends no call to a target that wants none for a while, and refuses at once with the time that remains if all do", func() {
+		publish(nil)
+		busy := func(quiet string) http.HandlerFunc {
+			return func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Quiet", quiet)
+				notRun(w, r)
+			}
+		}
+		targets[0].handler = busy("1500ms")
+		for targets[0].calls.Load() == 0 {
+			Expect(status()).To(Equal(http.StatusOK))
+		}
+		for range 20 {
+			Expect(status()).To(Equal(http.StatusOK))
+		}
+		Expect(targets[0].calls.Load()).To(Equal(int32(1)))
+		targets[1].handler = busy("10s")
+		answer, _, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		before, started := calls(), time.Now()
+		answer, _, err = send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(time.Since(started)).To(BeNumerically("<", 100*time.Millisecond))
+		seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seconds).To(BeNumerically("~", 1.2, 0.4))
+		Expect(calls()).To(Equal(before))
+		targets[0].handler = echo
+		Eventually(func() int { return status() }, 3*time.Second).Should(Equal(http.StatusOK))
+	})
+
 	It("refuses a call for a model that no target holds with the time until it is loaded, and records the demand", func() {
 		publish(func(s *catalog.State) { s.Services["s"].Engine = &catalog.Engine{Slots: 64} })
 		answer, _, err := send("Model", "none")
--- a/internal/passthrough/standins_test.go
+++ b/internal/passthrough/standins_test.go
@@ -48,7 +48,11 @@
 }
 
 func (testDialect) Outcome(status int, h http.Header) call.Outcome {
-	return call.Outcome{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", WrongTarget: status == 421, Authentic: h.Get("Seal") != ""}
+	quiet, _ := time.ParseDuration(h.Get("Quiet"))
+	return call.Outcome{
+		ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", WrongTarget: status == 421, Authentic: h.Get("Seal") != "",
+		Notice: call.Notice{Leaving: h.Get("Leaving") != "", RetryAfter: quiet},
+	}
 }
 func (testDialect) AnswerHeader(h http.Header) http.Header { return h.Clone() }
 func (testDialect) RefusalHeader(_ *call.Call, after time.Duration) http.Header {
@@ -147,12 +151,18 @@
 
 // newServer returns a server that forwards calls to the targets of a table.
 func newServer(holder *catalog.Holder, table *fleet.Table, residency passthrough.Residency) *passthrough.Server {
-	registry := prometheus.NewRegistry()
+	registry, dispatcher := prometheus.NewRegistry(), dispatch.NewDispatcher()
 	return passthrough.NewServer(passthrough.Dependencies{
-		Zone: "z", Dialect: testDialect{}, Catalog: holder, Fleet: table, Dispatcher: dispatch.NewDispatcher(), Upstream: upstream.NewClient(registry),
+		Zone: "z", Dialect: testDialect{}, Catalog: holder, Fleet: table, Dispatcher: dispatcher, Upstream: upstream.NewClient(registry),
 		Quota:   allowance.NewQuota(allowance.QuotaBounds{}, time.Now().Add(-time.Hour)),
 		Retries: allowance.NewRetryBudget(allowance.RetryBounds{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}),
 		Cold:    allowance.NewColdLimiter(allowance.ColdBounds{Overshoot: 1, Slack: 2}), Residency: residency, Members: singleInstance{},
+		OnNotice: func(t *fleet.Target, n call.Notice) {
+			if n.Leaving {
+				table.MarkLeaving(t.ID, t.BornMS, time.Now())
+			}
+			dispatcher.Quiet(t.ID, n.RetryAfter, time.Now())
+		},
 		Log: telemetry.Discard(), Tracer: telemetry.NoTracing().Tracer, Metrics: registry, Now: time.Now,
 	})
 }
--- a/internal/residency/keeper.go
+++ b/internal/residency/keeper.go
@@ -52,6 +52,10 @@
 	// queuedWork returns the queued work of a target, to choose among equal targets.
 	queuedWork     func(id string) time.Duration
 	reachableZones func() map[string]bool
+	// onNotice is called for each answer of a target. quiet reports whether a target wants
+	// no request of this instance for now.
+	onNotice func(t *fleet.Target, n call.Notice)
+	quiet    func(id string) bool
 
 	mu      sync.Mutex
 	targets map[string]*managedTarget
@@ -94,6 +98,10 @@
 	Work func(id string) time.Duration
 	// ReachableZones returns the zones that are not cut off from this instance.
 	ReachableZones func() map[string]bool
+	// OnNotice is called with what an answer of a target says about the target.
+	OnNotice func(t *fleet.Target, n call.Notice)
+	// Quiet reports whether a target wants no request of this instance for now.
+	Quiet func(id string) bool
 }
 
 // NewController returns a Controller and registers the mesh handler for adapter
@@ -101,7 +109,7 @@
 func NewController(config ControllerConfig) *Controller {
 	c := &Controller{
 		leases: config.Leases, reachableZones: config.ReachableZones, operator: config.Operator, fleet: config.Fleet, catalog: config.Catalog, demand: config.Demand, view: config.View,
-		node: config.Node, log: config.Log, now: time.Now, triggerBroadcast: config.TriggerBroadcast, queuedWork: config.Work,
+		node: config.Node, log: config.Log, now: time.Now, triggerBroadcast: config.TriggerBroadcast, queuedWork: config.Work, onNotice: config.OnNotice, quiet: config.Quiet,
 		targets: make(map[string]*managedTarget), loadBuckets: make(map[zoneService]*loadBucket), absences: make(map[zoneModel]absence), demandLoggedAt: make(map[zoneService]time.Time), growth: make(map[string]growth), adapterUsedAt: make(map[string]time.Time),
 		metrics: controllerMetrics{
 			orders:  prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_orders_total", Help: "Orders sent to targets."}),
@@ -216,7 +224,7 @@
 	for _, m := range list {
 		m.mu.Lock()
 		age := now.Sub(m.reportRequestedAt)
-		due := age >= reportInterval || age >= uncertainReportInterval && (!m.hasReport || m.busy || m.move != nil)
+		due := !c.quiet(m.id) && (age >= reportInterval || age >= uncertainReportInterval && (!m.hasReport || m.busy || m.move != nil))
 		t := m.target
 		if due {
 			// A failed request is not repeated at once.
@@ -238,7 +246,8 @@
 func (c *Controller) readReport(m *managedTarget, t *fleet.Target) {
 	requestedAt := c.now()
 	c.metrics.reports.Inc()
-	r, err := c.operator.Report(t.Address, t.ID, reportTimeout)
+	r, notice, err := c.operator.Report(t.Address, t.ID, reportTimeout)
+	c.onNotice(t, notice)
 	if err != nil {
 		c.log.WithField("target", t.ID).WithError(err).Info("residency: Failed to get report from target.")
 		return
@@ -297,7 +306,7 @@
 // sendOrder requires m.mu. It sends one order if the lease allows it.
 func (c *Controller) sendOrder(m *managedTarget, o call.Order) call.OrderResult {
 	token, ok := c.leases.Zone(m.zone).MayOrder(m.id)
-	if !ok {
+	if !ok || c.quiet(m.id) {
 		return call.OrderRefused
 	}
 	o.Holder, o.FencingToken = c.node.Self().Name, token
@@ -307,7 +316,8 @@
 	if o.Adapter != "" {
 		timeout = adapterOrderTimeout
 	}
-	result, err := c.operator.Order(m.target.Address, m.target.ID, o, timeout)
+	result, notice, err := c.operator.Order(m.target.Address, m.target.ID, o, timeout)
+	c.onNotice(m.target, notice)
 	fields := log.Fields{
 		"target": m.id, "kind": int(o.Kind), "model": o.Model, "adapter": o.Adapter,
 		"expected": o.ExpectedOrders, "token": token, "result": int(result),
--- a/internal/residency/keeper_test.go
+++ b/internal/residency/keeper_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -30,6 +31,9 @@
 	orders   int64
 	busy     bool
 	crashed  string
+	// notice is in all answers; reports counts the reports asked for.
+	notice  call.Notice
+	reports int
 }
 
 func (t *fakeTarget) removeAdapter(adapter string) {
@@ -53,7 +57,7 @@
 
 var errNoResponse = errors.New("no answer")
 
-func (f *fakeOperator) Order(_, id string, o call.Order, _ time.Duration) (call.OrderResult, error) {
+func (f *fakeOperator) Order(_, id string, o call.Order, _ time.Duration) (call.OrderResult, call.Notice, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.holders[id] = append(f.holders[id], o.Holder)
@@ -64,9 +68,10 @@
 			defer f.mu.Unlock()
 			f.carryOut(id, o)
 		})
-		return call.OrderUnknown, errNoResponse
+		return call.OrderUnknown, call.Notice{}, errNoResponse
 	}
-	return f.carryOut(id, o)
+	result, err := f.carryOut(id, o)
+	return result, f.byID[id].notice, err
 }
 
 // carryOut requires f.mu.
@@ -115,7 +120,7 @@
 	return call.OrderAccepted, nil
 }
 
-func (f *fakeOperator) Report(_, id string, _ time.Duration) (fleet.Report, error) {
+func (f *fakeOperator) Report(_, id string, _ time.Duration) (fleet.Report, call.Notice, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.byID[id]
@@ -129,7 +134,8 @@
 		}
 		r.Models = append(r.Models, held)
 	}
-	return r, nil
+	t.reports++
+	return r, t.notice, nil
 }
 
 func (f *fakeOperator) copies(model string) int {
@@ -166,8 +172,10 @@
 	var table *fleet.Table
 	var demand *Demand
 	var ctx context.Context
+	var quiet atomic.Bool
 
 	BeforeEach(func() {
+		quiet.Store(false)
 		e := &catalog.Engine{WeightsMB: 220_000, AdapterSlots: 2, LoadsPerSecond: 50, Models: make(map[string]catalog.Model)}
 		for i := range 5 {
 			name := fmt.Sprint("m", i)
@@ -201,6 +209,12 @@
 			Log: telemetry.Discard(), Metrics: prometheus.NewRegistry(), TriggerBroadcast: func() {},
 			Work:           func(string) time.Duration { return 0 },
 			ReachableZones: func() map[string]bool { return map[string]bool{"z": true} },
+			OnNotice: func(t *fleet.Target, n call.Notice) {
+				if n.Leaving {
+					table.MarkLeaving(t.ID, t.BornMS, time.Now())
+				}
+			},
+			Quiet: func(id string) bool { return quiet.Load() && id == "t0" },
 		})
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(context.Background())
@@ -296,6 +310,42 @@
 		Expect(operator.crashes()).To(BeEmpty())
 	})
 
+	It("gives the models of a target that says in its answers that it leaves to other targets", func() {
+		operator.mu.Lock()
+		operator.byID["t1"].notice = call.Notice{Leaving: true}
+		operator.mu.Unlock()
+		others := func(model string) func() bool {
+			return func() bool {
+				operator.mu.Lock()
+				defer operator.mu.Unlock()
+				return slices.Contains(operator.byID["t0"].models, model) || slices.Contains(operator.byID["t2"].models, model)
+			}
+		}
+		// Only t1 holds them, and each other target has room for one model or none.
+		Eventually(others("m3"), 8*time.Second).Should(BeTrue())
+		Eventually(others("m4"), 8*time.Second).Should(BeTrue())
+		Expect(operator.crashes()).To(BeEmpty())
+	})
+
+	It("asks nothing of a target that wants no requests for now", func() {
+		Eventually(func() int {
+			operator.mu.Lock()
+			defer operator.mu.Unlock()
+			return operator.byID["t0"].reports
+		}, 3*time.Second).Should(BeNumerically(">", 0))
+		quiet.Store(true)
+		time.Sleep(150 * time.Millisecond)
+		operator.mu.Lock()
+		before, orders := operator.byID["t0"].reports, len(operator.holders["t0"])
+		operator.mu.Unlock()
+		go addDemand(demand, "m4", 2*time.Second)
+		time.Sleep(2500 * time.Millisecond)
+		operator.mu.Lock()
+		defer operator.mu.Unlock()
+		Expect(operator.byID["t0"].reports).To(Equal(before))
+		Expect(operator.holders["t0"]).To(HaveLen(orders))
+	})
+
 	It("refuses an adapter for a model that no target holds", func() {
 		_, err := controller.EnsureAdapter(ctx, "s", "t1", "none", "a1")
 		Expect(errors.Is(err, ErrNoCapacity) || errors.Is(err, ErrNoHolder)).To(BeTrue())
