Bytes without end are bounded in heads, bodies, bodies of callers and frames of peers

Cause: the head of an answer was read without a bound (a status line without end took 3 GB in a test before the process ended), other endless heads held a call for its whole deadline; rejections were read to their end; events of 1 MiB and answers of 1 MiB were buffered for each call; callers and peers could occupy memory by announcing a body or a frame. Change: a head, informational answers and answers to other calls have 64 KiB and 8 informational answers together; a rejection 16 KiB and 50 ms; a buffered answer and an event 64 KiB; an answer 256 MiB. Bodies of callers grow with what arrives, 32 MiB over all, until the call's deadline (408). Soak: new faults (store back from a copy, leaving, pause wanted, bytes without end), judged from what targets saw; links that refuse connections no longer accept them first, as a port without listener.

--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -106,6 +106,8 @@
 	changed map[string]bool
 	// prefixUpdates lists the prompts sent since the last TakeUpdates.
 	prefixUpdates []PrefixUpdate
+	// suspicionsChanged is set once a target may have become cold that was not reported.
+	suspicionsChanged bool
 }
 
 // PrefixUpdate reports a prompt sent to a target, which caches its prefixes.
@@ -334,7 +336,7 @@
 func (d *Dispatcher) Pending() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.changed) > 0 || len(d.prefixUpdates) > 0
+	return len(d.changed) > 0 || len(d.prefixUpdates) > 0 || d.suspicionsChanged
 }
 
 // ApplyPeerUpdate records the loads and prompts reported by a peer.
@@ -426,6 +428,52 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.state(id).mayBeColdSince = now
+	d.suspicionsChanged = true
+}
+
+// ColdSuspicion is a target that may have become cold without announcing it, as one
+// instance has found.
+type ColdSuspicion struct {
+	TargetID string `msgpack:"t"`
+	// AgoMS is how long ago that was, in milliseconds.
+	AgoMS int64 `msgpack:"a"`
+}
+
+// coldSuspicionTTL is how long a suspicion is reported to peers. Cold starts are shorter.
+const coldSuspicionTTL = 30 * time.Second
+
+// ColdSuspicions returns the targets that may have become cold, for peers and for
+// instances that start, which have not seen what gave rise to it.
+func (d *Dispatcher) ColdSuspicions(now time.Time) []ColdSuspicion {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.suspicionsChanged = false
+	var out []ColdSuspicion
+	for id, s := range d.targets {
+		if ago := now.Sub(s.mayBeColdSince); !s.mayBeColdSince.IsZero() && ago < coldSuspicionTTL {
+			out = append(out, ColdSuspicion{id, ago.Milliseconds()})
+		}
+	}
+	return out
+}
+
+// HasNewSuspicions reports whether SuspectCold was called since the last ColdSuspicions.
+func (d *Dispatcher) HasNewSuspicions() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.suspicionsChanged
+}
+
+// AddColdSuspicions records the suspicions of a peer.
+func (d *Dispatcher) AddColdSuspicions(list []ColdSuspicion, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range list {
+		s := d.state(c.TargetID)
+		if at := now.Add(-time.Duration(c.AgoMS) * time.Millisecond); at.After(s.mayBeColdSince) {
+			s.mayBeColdSince = at
+		}
+	}
 }
 
 // Forget drops targets that are no longer listed, have no running calls and got
--- a/internal/dispatch/pick_test.go
+++ b/internal/dispatch/pick_test.go
@@ -207,6 +207,23 @@
 	})
 })
 
+var _ = Describe("Cold suspicions", func() {
+	It("reach peers and instances that start, which did not see the target refuse connections", func() {
+		now := time.Unix(1000, 0)
+		first, second := dispatch.NewDispatcher(), dispatch.NewDispatcher()
+		first.SuspectCold("t1", now)
+		Expect(first.Pending()).To(BeTrue())
+		now = now.Add(700 * time.Millisecond)
+		second.AddColdSuspicions(first.ColdSuspicions(now), now)
+		Expect(second.MayBeColdSince("t1")).To(Equal(now.Add(-700 * time.Millisecond)))
+		Expect(first.Pending()).To(BeFalse())
+		second.SuspectCold("t1", now)
+		second.AddColdSuspicions(first.ColdSuspicions(now), now)
+		Expect(second.MayBeColdSince("t1")).To(Equal(now), "an older suspicion of a peer changes nothing")
+		Expect(first.ColdSuspicions(now.Add(time.Minute))).To(BeEmpty())
+	})
+})
+
 func BenchmarkPick(bm *testing.B) {
 	for _, n := range []int{12, 60, 2600} {
 		bm.Run(fmt.Sprint(n, "-targets"), func(bm *testing.B) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,7 +183,8 @@
 		Upstream: g.client, Quota: g.quota,
 		Retries:   allowance.NewRetryBudget(allowance.RetryBounds{Window: seconds(b.RetryWindowSeconds), Ratio: b.RetryRatio, Slack: b.RetrySlack}),
 		Cold:      g.cold,
-		Residency: placement{g}, Members: members{g.exchange, g}, OnNotice: g.onNotice, Log: g.log, Tracer: g.deps.Tracing.Tracer,
+		Residency: placement{g}, Members: members{g.exchange, g}, TargetsConfirmed: g.store.confirmed.Load, OnNotice: g.onNotice,
+		Log: g.log, Tracer: g.deps.Tracing.Tracer,
 		Metrics: g.registry, Now: time.Now,
 	})
 }
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterellink/dotterellink/internal/allowance"
+	"github.com/dotterellink/dotterellink/internal/dispatch"
 	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/follow"
 	"github.com/dotterellink/dotterellink/internal/mesh"
@@ -26,6 +27,8 @@
 	Levels []allowance.AccountLevel `msgpack:"q,omitempty"`
 	// Departed are the targets that leave or have left, as the peer knows.
 	Departed []fleet.Departed `msgpack:"d,omitempty"`
+	// MayBeCold are the targets that may have become cold without announcing it.
+	MayBeCold []dispatch.ColdSuspicion `msgpack:"c,omitempty"`
 }
 
 // maxFreshSnapshotAge is the age up to which the snapshot of a peer counts as fresh. It
@@ -55,7 +58,7 @@
 		}
 		s.packedUpdates, s.packedVersions = updates, versions
 	}
-	return &snapshot{Updates: s.packedUpdates, AgeMS: oldest.Milliseconds(), Departed: s.fleet.Departures()}, nil
+	return &snapshot{Updates: s.packedUpdates, AgeMS: oldest.Milliseconds(), Departed: s.fleet.Departures(), MayBeCold: s.dispatcher.ColdSuspicions(time.Now())}, nil
 }
 
 // snapshotVersions are the store versions of the followers and the version of the
@@ -113,6 +116,7 @@
 func (s *storeState) applySnapshot(snap *snapshot, now time.Time) {
 	age := time.Duration(snap.AgeMS) * time.Millisecond
 	s.fleet.AddDepartures(snap.Departed, now)
+	s.dispatcher.AddColdSuspicions(snap.MayBeCold, now)
 	for _, body := range snap.Updates {
 		u, err := follow.DecodeUpdate(body)
 		if err != nil {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -36,6 +37,8 @@
 	log        log.Interface
 
 	config, targets, evacuations *follow.Follower
+	// confirmed is set once the store or the watcher has confirmed the data of a peer.
+	confirmed atomic.Bool
 
 	mu         sync.Mutex
 	rawConfig  platform.Object
@@ -105,6 +108,7 @@
 		}
 	}
 	// The watcher reads the store, so its update confirms that the data is current.
+	s.confirmed.Store(true)
 	now := time.Now()
 	s.catalog.Confirm(now)
 	s.fleet.StoreBack(now)
@@ -142,6 +146,7 @@
 }
 
 func (s *storeState) onStoreSuccess(now time.Time) {
+	s.confirmed.Store(true)
 	s.catalog.Confirm(now)
 	s.mu.Lock()
 	wasLost := s.lost
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -23,6 +23,9 @@
 	if full || g.leavingChanged.Swap(false) {
 		s.Departing = g.fleet.Leaving()
 	}
+	if full || g.dispatcher.HasNewSuspicions() {
+		s.MayBeCold = g.dispatcher.ColdSuspicions(time.Now())
+	}
 	s.Loads, s.PrefixUpdates = g.dispatcher.TakeUpdates(full, time.Now())
 	g.recordAdapterUse(s.PrefixUpdates)
 	s.AllCounts = g.fullCountsDue()
@@ -42,6 +45,7 @@
 		s.Held, s.Ended = nil, nil
 	}
 	g.fleet.AddDepartures(s.Departing, now)
+	g.dispatcher.AddColdSuspicions(s.MayBeCold, now)
 	g.dispatcher.ApplyPeerUpdate(from.Name, s.Loads, s.PrefixUpdates, now)
 	g.quota.ApplyPeerSpending(s.Run, s.Spent, s.AllCounts, now)
 	g.demand.Observe(s.Run, s.Demand, s.AllCounts, now)
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -49,8 +49,8 @@
 	if n > maxFrameBytes {
 		return nil, merry.Wrap(ErrCodec, merry.AppendMessage("message exceeds 4 MiB"))
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(r, data); err != nil {
+	data, err := readGrowing(r, int(n))
+	if err != nil {
 		return nil, err
 	}
 	var f frame
@@ -59,3 +59,23 @@
 	}
 	return &f, nil
 }
+
+// frameStepBytes is the memory that a frame occupies before any of it has arrived.
+const frameStepBytes = 64 << 10
+
+// readGrowing reads n bytes into memory that grows with what has arrived, so that a peer
+// cannot occupy memory by declaring a long frame.
+func readGrowing(r io.Reader, n int) ([]byte, error) {
+	data := make([]byte, 0, min(n, frameStepBytes))
+	for len(data) < n {
+		if len(data) == cap(data) {
+			data = append(make([]byte, 0, min(n, 2*len(data))), data...)
+		}
+		got, err := io.ReadFull(r, data[len(data):cap(data)])
+		data = data[:len(data)+got]
+		if err != nil {
+			return nil, err
+		}
+	}
+	return data, nil
+}
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -17,9 +17,18 @@
 	"github.com/dotterellink/dotterellink/internal/upstream"
 )
 
-// maxBufferedAnswer is the size in bytes up to which an answer is read completely
-// before its head is relayed, so that a truncated answer can be replaced.
-const maxBufferedAnswer = 1 << 20
+const (
+	// maxBufferedAnswer is the size in bytes up to which an answer is read completely
+	// before its head is relayed, so that a truncated answer can be replaced. It bounds the
+	// memory of a call whose target sends bytes without end.
+	maxBufferedAnswer = 64 << 10
+	// maxAnswer is the size in bytes from which an answer counts as one without end.
+	maxAnswer = 256 << 20
+	// maxRejection and rejectionTimeout bound what is read of the answer of a target that
+	// has not run the call.
+	maxRejection     = 16 << 10
+	rejectionTimeout = 50 * time.Millisecond
+)
 
 // attempt makes one attempt and reports whether another must follow.
 func (f *forwarder) attempt(ctx context.Context) bool {
@@ -42,14 +51,28 @@
 	case response.Status < http.StatusMultipleChoices && !outcome.Authentic:
 		f.runs++
 		return f.attemptBroken(ctx, ticket, errNotAuthentic)
+	case promisesNotRun(response.Status):
+		f.runs++
+		return f.attemptBroken(ctx, ticket, errFalsePromise)
 	}
 	f.runs++
+	response.Limit(maxAnswer)
 	if f.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices {
 		return f.relayStream(ctx, cancel, ticket, response)
 	}
 	return f.relayAnswer(ctx, ticket, response)
 }
 
+// promisesNotRun reports whether a status tells a caller that its call has not run and
+// never will.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// errFalsePromise means that a target answered with a status that promises that the call
+// has not run, without saying so itself. Such an answer is not relayed.
+var errFalsePromise = errors.New("status promises that the call has not run, the answer does not")
+
 var errNotAuthentic = errors.New("answer lacks the target's authentication")
 
 // attemptContext bounds one attempt of an idempotent call so that there is time for
@@ -162,9 +185,7 @@
 	if outcome.WrongTarget {
 		result = dispatch.NotHeld
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(response, maxBufferedAnswer)); err != nil {
-		f.logAttempt("rejection_unread", err)
-	}
+	response.Discard(maxRejection, rejectionTimeout)
 	ticket.End(result, f.Now())
 	f.metrics.attempts.WithLabelValues("rejected").Inc()
 	f.logAttempt("rejected", nil)
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -162,8 +162,10 @@
 	return f.Cold.CallsPerWindow(targetID, service.ColdRate, f.Members.Self(), f.Members.Names())
 }
 
-// mayBeCold reports whether a target may be in its cold start: as announced, or
-// because its zone was returned to service or it refused a connection.
+// mayBeCold reports whether a target may be in its cold start: as announced, because its
+// zone was returned to service or it refused a connection, or because this instance has
+// just started and knows targets from a peer alone, which may not know of a restart. An
+// engine that has started anew rejects calls until its announcement shows its models.
 func (f *forwarder) mayBeCold(t *fleet.Target, service *catalog.Service, now time.Time) bool {
 	if service.ColdRate <= 0 {
 		return false
@@ -171,6 +173,9 @@
 	if now.Before(t.ColdUntil()) {
 		return true
 	}
+	if service.Engine == nil && now.Sub(f.startedAt) < service.ColdStart+coldStartMargin && !f.TargetsConfirmed() {
+		return true
+	}
 	since := f.Dispatcher.MayBeColdSince(t.ID)
 	return !since.IsZero() && now.Sub(since) < service.ColdStart+coldStartMargin
 }
--- a/internal/passthrough/events.go
+++ b/internal/passthrough/events.go
@@ -10,8 +10,9 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream. It bounds the memory of a call whose target
+// sends an event without end.
+const maxEventBytes = 64 << 10
 
 // errTruncatedEvent means that a stream ended in the middle of an event, or that an
 // event exceeds maxEventBytes.
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/apex/log"
@@ -54,6 +55,8 @@
 	account *catalog.Account
 	units   float64
 	work    dispatch.Work
+	// bodyTaken is what the body of the call occupies of Server.bodies.
+	bodyTaken int64
 	// deadline is when the timeout of the caller or of the route expires, whichever is
 	// earlier, less answerMargin.
 	deadline time.Time
@@ -171,12 +174,28 @@
 	return f.route.Services[0].Service
 }
 
+// receiveBody reads the body of the call until its deadline.
 func (f *forwarder) receiveBody() bool {
-	body, err := readBody(f.r, f.state.Limits.MaxBodyBytes)
+	connection := http.NewResponseController(f.w)
+	// Without a body there is nothing to wait for, and net/http already reads ahead.
+	if f.r.ContentLength != 0 {
+		_ = connection.SetReadDeadline(f.deadline)
+	}
+	body, taken, err := f.readBody(f.r, f.state.Limits.MaxBodyBytes)
+	f.bodyTaken = taken
+	if f.r.ContentLength != 0 {
+		_ = connection.SetReadDeadline(time.Time{})
+	}
 	switch {
 	case errors.Is(err, errTooLarge):
 		f.refuse(f.w, f.call, http.StatusRequestEntityTooLarge, "body_too_large", 0)
 		return false
+	case errors.Is(err, errBodiesFull):
+		f.refuse(f.w, f.call, http.StatusServiceUnavailable, "bodies_full", noTargetRetryAfter)
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.refuse(f.w, f.call, http.StatusRequestTimeout, "body_too_slow", 0)
+		return false
 	case err != nil:
 		f.finish("caller_left", err)
 		panic(http.ErrAbortHandler)
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -86,6 +86,9 @@
 	Cold       *allowance.ColdLimiter
 	Residency  Residency
 	Members    Members
+	// TargetsConfirmed reports whether the list of targets was confirmed since the start of
+	// this instance, by the store or by the watcher.
+	TargetsConfirmed func() bool
 	// OnNotice is called with what an answer of a target says about the target.
 	OnNotice func(t *fleet.Target, n call.Notice)
 	Log      log.Interface
@@ -97,18 +100,21 @@
 // Server forwards the calls of callers to targets. It implements http.Handler.
 type Server struct {
 	Dependencies
-	metrics *metrics
+	metrics   *metrics
+	startedAt time.Time
 	// keepAliveDisabled is set once the instance is stopping. Each answer then closes
 	// its connection.
 	keepAliveDisabled atomic.Bool
 	// closed is set once a stopping instance refuses further calls.
 	closed  atomic.Bool
 	running atomic.Int64
+	// bodies is the sum of the bodies of all calls in flight, in bytes.
+	bodies atomic.Int64
 }
 
 // NewServer returns a server.
 func NewServer(d Dependencies) *Server {
-	return &Server{Dependencies: d, metrics: newMetrics(d.Metrics)}
+	return &Server{Dependencies: d, metrics: newMetrics(d.Metrics), startedAt: d.Now()}
 }
 
 // DisableKeepAlive makes the server close each connection after its next answer.
@@ -140,6 +146,7 @@
 	ctx, span := s.Tracer.Start(r.Context(), "call")
 	defer span.End()
 	f := &forwarder{Server: s, w: w, r: r.WithContext(ctx), call: c}
+	defer func() { s.bodies.Add(-f.bodyTaken) }()
 	f.serve()
 }
 
@@ -162,28 +169,62 @@
 	s.Log.WithFields(fields).Info("passthrough: Call refused.")
 }
 
-// readBody reads the body and returns errTooLarge if it exceeds limit bytes.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+// Errors of readBody.
+var (
+	errTooLarge = errors.New("request body exceeds the limit")
+	// errBodiesFull means that the bodies of all calls in flight fill the memory set aside
+	// for them.
+	errBodiesFull = errors.New("bodies of calls in flight fill their memory")
+)
+
+const (
+	// maxBodies bounds the sum of the bodies of all calls in flight, in bytes.
+	maxBodies = 32 << 20
+	// minBodyStep is the size in bytes of the first step in which the memory for a body
+	// grows. Each further one doubles it, so that a caller cannot occupy memory by announcing
+	// a body.
+	minBodyStep = 16 << 10
+)
+
+// readBody reads the body into memory that it takes from s.bodies, and returns it with the
+// number of bytes taken. It returns errTooLarge if the body exceeds limit bytes.
+func (s *Server) readBody(r *http.Request, limit int64) (body []byte, taken int64, err error) {
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
+		return nil, 0, nil
 	}
-	if n := r.ContentLength; n > 0 && n <= limit {
-		body := make([]byte, n)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
+	if r.ContentLength > limit {
+		return nil, 0, errTooLarge
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, errTooLarge
+	for {
+		if len(body) == cap(body) {
+			step := max(minBodyStep, len(body))
+			if n := r.ContentLength; n > 0 && n < int64(len(body)+step) {
+				// One byte more lets the read that fills the body see its end.
+				step = int(n) + 1 - len(body)
+			}
+			if s.bodies.Add(int64(step)) > maxBodies {
+				s.bodies.Add(-int64(step))
+				return nil, taken, errBodiesFull
+			}
+			taken += int64(step)
+			body = append(make([]byte, 0, len(body)+step), body...)
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, taken, errTooLarge
+		case errors.Is(err, io.EOF):
+			return body, taken, nil
+		case err != nil:
+			return nil, taken, err
+		}
 	}
-	return body, err
 }
 
-var errTooLarge = errors.New("request body exceeds the limit")
-
 type metrics struct {
 	answers  *prometheus.CounterVec
 	attempts *prometheus.CounterVec
--- a/internal/passthrough/server_test.go
+++ b/internal/passthrough/server_test.go
@@ -298,6 +298,59 @@
 		})
 	})
 
+	It("refuses a call whose body does not arrive in its time, and one that finds the memory for bodies full", func() {
+		publish(func(s *catalog.State) { s.Limits.MaxBodyBytes = 4 << 20 })
+		conn, err := net.Dial("tcp", front.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nId: slow\r\nPatience: 300\r\nContent-Length: 4000000\r\n\r\nfirst bytes")
+		Expect(err).NotTo(HaveOccurred())
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusRequestTimeout))
+
+		release := make(chan struct{})
+		handleAll(func(w http.ResponseWriter, r *http.Request) {
+			<-release
+			echo(w, r)
+		})
+		statuses := make(chan int, 20)
+		for i := range 20 {
+			go func() {
+				r, err := http.NewRequest(http.MethodPost, front.URL+"/a/x", strings.NewReader(strings.Repeat("x", 3<<20)))
+				if err != nil {
+					panic(err)
+				}
+				r.Host = "h.example"
+				r.Header.Set("Id", fmt.Sprint("large", i))
+				answer, err := front.Client().Do(r)
+				if err != nil {
+					statuses <- 0
+					return
+				}
+				answer.Body.Close()
+				statuses <- answer.StatusCode
+			}()
+		}
+		var first int
+		Eventually(statuses, 3*time.Second).Should(Receive(&first))
+		Expect(first).To(BeElementOf(http.StatusServiceUnavailable, 0), "10 of 20 bodies fit")
+		Expect(calls()).To(BeNumerically("<=", 10))
+		close(release)
+		for range 19 {
+			<-statuses
+		}
+		Expect(status()).To(Equal(http.StatusOK), "the memory is free again")
+	})
+
+	It("does not relay a status that promises that the call has not run, if the target does not say so itself", func() {
+		publish(nil)
+		for _, code := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
+			handleAll(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) })
+			Expect(status()).To(Equal(http.StatusBadGateway))
+		}
+	})
+
 	It("sends no further call to a target that says in any answer that it leaves", func() {
 		publish(nil)
 		targets[0].handler = func(w http.ResponseWriter, r *http.Request) {
@@ -371,6 +424,22 @@
 		Expect(answer.Header.Get("Retry-After")).To(Equal("1.80"))
 	})
 
+	It("treats targets as cold after its start until their list was confirmed, as a peer may not know that they have started anew", func() {
+		publish(limitColdStart)
+		var confirmed atomic.Bool
+		server.TargetsConfirmed = confirmed.Load
+		for range 20 {
+			status()
+		}
+		Expect(calls()).To(BeNumerically("<=", 2*5), "a cold target takes 3 calls a second, and 2 more")
+		confirmed.Store(true)
+		before := calls()
+		for range 20 {
+			Expect(status()).To(Equal(http.StatusOK))
+		}
+		Expect(calls() - before).To(Equal(20))
+	})
+
 	It("sends nothing to a cold target until it knows all instances, as each instance of a restarting fleet would use the whole limit", func() {
 		server.Members = startingInstance{}
 		publish(limitColdStart)
--- a/internal/passthrough/standins_test.go
+++ b/internal/passthrough/standins_test.go
@@ -157,6 +157,7 @@
 		Quota:   allowance.NewQuota(allowance.QuotaBounds{}, time.Now().Add(-time.Hour)),
 		Retries: allowance.NewRetryBudget(allowance.RetryBounds{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}),
 		Cold:    allowance.NewColdLimiter(allowance.ColdBounds{Overshoot: 1, Slack: 2}), Residency: residency, Members: singleInstance{},
+		TargetsConfirmed: func() bool { return true },
 		OnNotice: func(t *fleet.Target, n call.Notice) {
 			if n.Leaving {
 				table.MarkLeaving(t.ID, t.BornMS, time.Now())
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -28,10 +28,12 @@
 	// Departing are the targets that said in their answers that they leave.
 	Departing []fleet.Departed `msgpack:"dp,omitempty"`
 
-	Loads         []dispatch.TargetLoad   `msgpack:"ld,omitempty"`
-	PrefixUpdates []dispatch.PrefixUpdate `msgpack:"rd,omitempty"`
-	Spent         []allowance.Spending    `msgpack:"sp,omitempty"`
-	Demand        []ModelDemand           `msgpack:"dm,omitempty"`
+	// MayBeCold are the targets that may have become cold without announcing it.
+	MayBeCold     []dispatch.ColdSuspicion `msgpack:"mc,omitempty"`
+	Loads         []dispatch.TargetLoad    `msgpack:"ld,omitempty"`
+	PrefixUpdates []dispatch.PrefixUpdate  `msgpack:"rd,omitempty"`
+	Spent         []allowance.Spending     `msgpack:"sp,omitempty"`
+	Demand        []ModelDemand            `msgpack:"dm,omitempty"`
 	// AllCounts is set if Spent and Demand list all accounts and models in use, and not
 	// only those that changed.
 	AllCounts  bool         `msgpack:"ac,omitempty"`
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -77,7 +77,8 @@
 		return nil, err
 	}
 	c.metrics.dialed.Inc()
-	cn := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), key: key, idleTimeout: defaultIdleTimeout}
+	bounded := &boundedConn{Conn: raw, left: noLimit}
+	cn := &conn{Conn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), key: key, idleTimeout: defaultIdleTimeout}
 	c.pools.mu.Lock()
 	c.pools.open[key]++
 	c.pools.mu.Unlock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -155,12 +155,16 @@
 // whose body ends only with the connection cannot be skipped.
 func readHead(r *Request, response *Response) error {
 	cn := response.conn
-	for skipped := 0; ; {
+	cn.bounded.left = maxHeadBytes
+	for skipped, informational := 0, 0; ; {
 		received, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return merry.Wrap(ErrOutcomeUnknown, merry.WithCause(err))
 		}
 		if received.StatusCode < http.StatusOK {
+			if informational++; informational > maxInformational {
+				return merry.Wrap(ErrOutcomeUnknown, merry.WithCause(merry.Wrap(ErrTooLong)))
+			}
 			continue
 		}
 		if !r.MatchesCall(received.Header) {
@@ -176,10 +180,25 @@
 		response.Status, response.Header, response.body = received.StatusCode, received.Header, received.Body
 		response.ContentLength = received.ContentLength
 		cn.updateReuse(received)
+		cn.bounded.left = noLimit
 		return nil
 	}
 }
 
+// Limit makes reads of the body fail once the target has sent more than about n further
+// bytes, framing included.
+func (r *Response) Limit(n int64) { r.conn.bounded.left = n }
+
+// Discard reads the rest of the body, so that the connection can be reused, if the target
+// sends it at once and it has at most limit bytes.
+func (r *Response) Discard(limit int64, timeout time.Duration) {
+	if r.conn.SetReadDeadline(time.Now().Add(timeout)) != nil {
+		return
+	}
+	// An incomplete body makes Close close the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, limit))
+}
+
 // Read reads the body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
@@ -235,8 +254,10 @@
 // conn is one connection to a target.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	key    string
+	// bounded limits the bytes that reader reads from Conn.
+	bounded *boundedConn
+	reader  *bufio.Reader
+	key     string
 	// idleSince is when the connection was last returned to the pool.
 	idleSince   time.Time
 	idleTimeout time.Duration
--- a/test/soak/book_test.go
+++ b/test/soak/book_test.go
@@ -73,6 +73,12 @@
 	broken  []string
 	loads   []time.Time
 	orders  map[*target][]order
+	// arrivals are the requests that reached a target, whether it ran them or not. leaving
+	// holds the calls whose answer said that the target leaves, busy the refusals by which
+	// it wants no request for a while.
+	arrivals map[*target][]arrival
+	leaving  map[*target][]string
+	busy     map[*target][]order
 	// mostTokens is the largest number of tokens of the metered account in any window.
 	mostTokens float64
 }
@@ -84,7 +90,47 @@
 }
 
 func newBook() *book {
-	return &book{records: make(map[string]*record), orders: make(map[*target][]order)}
+	return &book{
+		records: make(map[string]*record), orders: make(map[*target][]order),
+		arrivals: make(map[*target][]arrival), leaving: make(map[*target][]string), busy: make(map[*target][]order),
+	}
+}
+
+// arrival is a request that reached a target from an instance. sent is when its caller
+// sent it, zero for an order.
+type arrival struct {
+	instance string
+	sent, at time.Time
+}
+
+func (b *book) arrived(t *target, instance string, sent, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals[t] = append(b.arrivals[t], arrival{instance, sent, at})
+}
+
+// arrivedCall notes a call that reached a target, and returns its instance.
+func (b *book) arrivedCall(t *target, c platformtest.Received) string {
+	b.mu.Lock()
+	r := b.records[c.ID]
+	b.mu.Unlock()
+	if r == nil {
+		return ""
+	}
+	b.arrived(t, r.instance.name, r.sent, c.Arrived)
+	return r.instance.name
+}
+
+func (b *book) saidLeaving(t *target, id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving[t] = append(b.leaving[t], id)
+}
+
+func (b *book) refusedBusy(t *target, instance string, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.busy[t] = append(b.busy[t], order{at, instance})
 }
 
 // breaks notes a broken promise; requires b.mu.
@@ -134,9 +180,56 @@
 	b.judgeCold()
 	b.judgeOrders(w)
 	b.judgeLoads(w)
+	b.judgeLeaving(w)
+	b.judgeBusy(w)
 	return b.broken
 }
 
+// judgeLeaving checks that an instance sends a target no call that a caller sent later than
+// the bound after it passed on that the target leaves. In touch or not, only a restart or a
+// pause excuses it.
+func (b *book) judgeLeaving(w *world) {
+	for t, ids := range b.leaving {
+		passed := make(map[string]time.Time)
+		for _, id := range ids {
+			r := b.records[id]
+			if r.seal == "" || r.ended.IsZero() {
+				continue
+			}
+			if first, known := passed[r.instance.name]; !known || r.ended.Before(first) {
+				passed[r.instance.name] = r.ended
+			}
+		}
+		for _, a := range b.arrivals[t] {
+			at, known := passed[a.instance]
+			if known && a.sent.After(at.Add(drainBound)) && !w.interrupted(a.instance, at, a.at) {
+				b.breaks("DRAIN", "%s got a call from %s, sent %v after it had passed on that the target leaves", t.id, a.instance, a.sent.Sub(at))
+				break
+			}
+		}
+	}
+}
+
+// judgeBusy checks that at most two requests of an instance reach a target between half a
+// second after it wanted none for a while and the end of that time.
+func (b *book) judgeBusy(w *world) {
+	for t, refusals := range b.busy {
+		for _, refusal := range refusals {
+			from, to := refusal.at.Add(500*time.Millisecond), refusal.at.Add(busyFor)
+			n := 0
+			for _, a := range b.arrivals[t] {
+				if a.instance == refusal.holder && a.at.After(from) && a.at.Before(to) {
+					n++
+				}
+			}
+			if n > 2 && !w.interrupted(refusal.holder, refusal.at, to) && !w.disturbedInstance(refusal.holder, refusal.at, to) {
+				b.breaks("BUDGET", "%s got %d requests from %s while it wanted none", t.id, n, refusal.holder)
+				return
+			}
+		}
+	}
+}
+
 func (b *book) judgeCall(r *record) {
 	if !r.repeatable() && len(r.runs) > 1 {
 		b.breaks("TWICE", "call %s ran at %s and %s", r.call.ID, r.runs[0].target.id, r.runs[1].target.id)
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -23,6 +23,9 @@
 	faultEvery = 700 * time.Millisecond
 	slowStore  = 400 * time.Millisecond
 	slowLink   = 80 * time.Millisecond
+	// writesAgainAfter is the time until the operator writes again what a store has
+	// forgotten.
+	writesAgainAfter = 600 * time.Millisecond
 )
 
 var allFaults = []fault{
@@ -66,6 +69,16 @@
 	{"store slow", func(w *world, d time.Duration) (string, func()) {
 		return w.storeFault(d, platformstandin.Faults{DelayMS: int(slowStore.Milliseconds())})
 	}},
+	{"store comes back from a copy", func(w *world, d time.Duration) (string, func()) {
+		w.disturb(nil, d+contact)
+		w.store.Copy()
+		return "", func() {
+			w.disturb(nil, contact)
+			w.store.Rewind()
+			w.pause(writesAgainAfter)
+			w.writeAgain()
+		}
+	}},
 	{"instance cut from the store", func(w *world, d time.Duration) (string, func()) {
 		n := w.anInstance()
 		return w.linkFault(n, n.store, d)
@@ -110,6 +123,17 @@
 	{"target loses answers", targetFault(behaviour{losing: 0.4})},
 	{"target sends stray answers", targetFault(behaviour{garbling: 0.4})},
 	{"orders are carried out late", targetFault(behaviour{ordersLate: true})},
+	{"target sends bytes without end", targetFault(behaviour{endless: 0.3})},
+	{"target wants no requests for a while", targetFault(behaviour{busy: true})},
+	{"target says that it leaves", func(w *world, _ time.Duration) (string, func()) {
+		t := w.aTarget()
+		w.replace(t)
+		t.behave(behaviour{leaving: true})
+		return t.id, func() {
+			w.pause(drainBound)
+			t.crash()
+		}
+	}},
 	{"target crashes", func(w *world, _ time.Duration) (string, func()) {
 		t := w.aTarget()
 		w.disturb(nil, contact)
--- a/test/soak/instance_test.go
+++ b/test/soak/instance_test.go
@@ -41,6 +41,8 @@
 	told bool
 	// stops are the times of SIGTERM, thaws those at which it was heard again.
 	stops, thaws []time.Time
+	// interruptions are the times at which the process ended or was paused.
+	interruptions []time.Time
 }
 
 func (w *world) newInstance(i int, zone, storeAddress string) *instance {
@@ -97,6 +99,7 @@
 	n.mu.Lock()
 	told := n.told
 	n.command = nil
+	n.interruptions = append(n.interruptions, time.Now())
 	n.mu.Unlock()
 	close(done)
 	if !told {
@@ -119,6 +122,9 @@
 	if s == syscall.SIGTERM {
 		n.stops = append(n.stops, time.Now())
 	}
+	if s == syscall.SIGSTOP || s == syscall.SIGKILL {
+		n.interruptions = append(n.interruptions, time.Now())
+	}
 	if s == syscall.SIGCONT {
 		n.thaws = append(n.thaws, time.Now())
 	}
--- a/test/soak/link_test.go
+++ b/test/soak/link_test.go
@@ -18,28 +18,31 @@
 
 // link is a proxy in front of one address.
 type link struct {
-	listener net.Listener
-	to       string
+	// at is the address of the link, at which nothing listens while it refuses connections.
+	at string
+	to string
 
-	mu      sync.Mutex
-	state   linkState
-	changed chan struct{}
-	open    map[net.Conn]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	closed   bool
+	state    linkState
+	changed  chan struct{}
+	open     map[net.Conn]struct{}
 }
 
 func newLink(address, to string) *link {
 	l, err := net.Listen("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
-	k := &link{listener: l, to: to, changed: make(chan struct{}), open: make(map[net.Conn]struct{})}
-	go k.accept()
+	k := &link{listener: l, at: l.Addr().String(), to: to, changed: make(chan struct{}), open: make(map[net.Conn]struct{})}
+	go k.accept(l)
 	return k
 }
 
-func (k *link) address() string { return k.listener.Addr().String() }
+func (k *link) address() string { return k.at }
 
-func (k *link) accept() {
+func (k *link) accept(l net.Listener) {
 	for {
-		conn, err := k.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -47,6 +50,18 @@
 	}
 }
 
+// listenAgain requires k.mu. It opens the listener that a link which refused connections
+// had closed.
+func (k *link) listenAgain() {
+	l, err := net.Listen("tcp", k.at)
+	if err != nil {
+		// Another process of the machine has the port now; the link stays refused.
+		return
+	}
+	k.listener = l
+	go k.accept(l)
+}
+
 // join connects a caller to the far side, and resets it if there is none.
 func (k *link) join(caller net.Conn) {
 	k.mu.Lock()
@@ -112,6 +127,13 @@
 func (k *link) set(s linkState) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	switch {
+	case k.closed || s.refuses == k.state.refuses:
+	case s.refuses:
+		_ = k.listener.Close()
+	default:
+		k.listenAgain()
+	}
 	k.state = s
 	close(k.changed)
 	k.changed = make(chan struct{})
@@ -127,7 +149,10 @@
 }
 
 func (k *link) close() {
+	k.mu.Lock()
+	k.closed = true
 	_ = k.listener.Close()
+	k.mu.Unlock()
 	k.set(linkState{})
 	k.resetAll()
 }
--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -32,6 +33,10 @@
 	coldRate      = 4
 	// reportLag is how old a target's report is.
 	reportLag = 200 * time.Millisecond
+	// busyFor is how long a busy target wants no request.
+	busyFor = 2 * time.Second
+	// endlessPause is the pause between blocks of 4 KiB of an answer without end.
+	endlessPause = 500 * time.Microsecond
 	// heldAnswer is longer than callers wait.
 	heldAnswer = 4 * time.Second
 )
@@ -44,6 +49,11 @@
 	failing, losing, garbling float64
 	// ordersLate has orders answered by silence and carried out seconds later.
 	ordersLate bool
+	// leaving has all answers say that the target leaves; busy has all be refusals that
+	// want no request for busyFor.
+	leaving, busy bool
+	// endless is the share of calls that are answered by bytes without end.
+	endless float64
 }
 
 // target is one incarnation of a target of a plain service or of an engine.
@@ -176,7 +186,13 @@
 
 // ServeHTTP implements http.Handler.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	odd, _, _, _ := t.state()
+	if odd.leaving {
+		platformtest.SetLeaving(w.Header())
+	}
 	switch {
+	case odd.busy:
+		t.refuseBusy(w, r)
 	case t.engine != nil && r.URL.Path == platformtest.OrderPath:
 		t.order(w, r)
 	case t.engine != nil && r.URL.Path == platformtest.ReportPath:
@@ -186,11 +202,39 @@
 	}
 }
 
+// refuseBusy refuses a call, an order or a request for the report, and wants no other for
+// a while.
+func (t *target) refuseBusy(w http.ResponseWriter, r *http.Request) {
+	platformtest.SetRetryAfter(w.Header(), busyFor)
+	b := t.w.book
+	switch r.URL.Path {
+	case platformtest.ReportPath:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case platformtest.OrderPath:
+		o, _, err := platformtest.DecodeOrder(r)
+		if err != nil {
+			return
+		}
+		b.arrived(t, o.Holder, time.Time{}, time.Now())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		b.refusedBusy(t, o.Holder, time.Now())
+	default:
+		c, err := platformtest.Receive(r, time.Now())
+		if err != nil {
+			return
+		}
+		caller := b.arrivedCall(t, c)
+		platformtest.RespondNotExecuted(w, c.ID, http.StatusServiceUnavailable)
+		b.refusedBusy(t, caller, time.Now())
+	}
+}
+
 func (t *target) serve(w http.ResponseWriter, r *http.Request) {
 	c, err := platformtest.Receive(r, time.Now())
 	if err != nil {
 		return
 	}
+	t.w.book.arrivedCall(t, c)
 	if c.TargetID != "" && c.TargetID != t.id || t.engine != nil && !t.engine.holds(c.Model, c.Adapter) {
 		platformtest.RespondNotExecuted(w, c.ID, http.StatusMisdirectedRequest)
 		return
@@ -213,7 +257,12 @@
 	if !pause.For(ctx, step) {
 		return
 	}
+	if odd.leaving {
+		t.w.book.saidLeaving(t, c.ID)
+	}
 	switch chance := rand.Float64(); {
+	case chance < odd.endless:
+		t.sendEndless(w, c)
 	case chance < odd.failing:
 		platformtest.SetResponseHeader(w.Header(), c.ID, "failed")
 		w.WriteHeader(http.StatusInternalServerError)
@@ -227,6 +276,35 @@
 	}
 }
 
+// endlessAnswers are starts of answers, and what follows again and again.
+var endlessAnswers = [][2]string{
+	{"HTTP/1.1 200 ", "O"},
+	{"HTTP/1.1 200 OK\r\nX-More: ", "y"},
+	{"HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"},
+	{"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	{"", "HTTP/1.1 200 OK\r\nX-Dotterellink-Attempt-Id: stray\r\nContent-Length: 5\r\n\r\nstray"},
+	{"HTTP/1.1 200 OK\r\nX-Dotterellink-Attempt-Id: %s\r\nX-Dotterellink-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n3;", "x"},
+	{"HTTP/1.1 200 OK\r\nX-Dotterellink-Attempt-Id: %s\r\nX-Dotterellink-Server-Seal: s\r\n\r\n", "body "},
+	{"HTTP/1.1 503 Busy\r\nX-Dotterellink-Attempt-Id: %s\r\nX-Dotterellink-Server-Seal: s\r\n\r\n", "body "},
+}
+
+// sendEndless sends bytes until the caller closes the connection.
+func (t *target) sendEndless(w http.ResponseWriter, c platformtest.Received) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	a := endlessAnswers[rand.IntN(len(endlessAnswers))]
+	block := strings.Repeat(a[1], 1+4096/len(a[1]))
+	_, err = io.WriteString(conn, strings.ReplaceAll(a[0], "%s", c.ID))
+	for err == nil {
+		_, err = io.WriteString(conn, block)
+		// Twenty targets at full speed would leave no processor to the instances.
+		time.Sleep(endlessPause)
+	}
+}
+
 // answer is what the target answers to a plain call.
 func (t *target) answer(id string) string { return strings.Repeat("answer of "+t.id+" to "+id+"\n", 8) }
 
@@ -357,6 +435,7 @@
 	b.mu.Lock()
 	b.orders[t] = append(b.orders[t], order{time.Now(), o.Holder})
 	b.mu.Unlock()
+	b.arrived(t, o.Holder, time.Time{}, time.Now())
 	odd, _, _, _ := t.state()
 	if odd.ordersLate {
 		go func() {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -292,6 +292,38 @@
 	return false
 }
 
+// interrupted reports whether the process of an instance ended or was paused between two
+// times.
+func (w *world) interrupted(name string, from, to time.Time) bool {
+	for _, n := range w.instances {
+		if n.name != name {
+			continue
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for _, at := range n.interruptions {
+			if !at.Before(from) && at.Before(to) {
+				return true
+			}
+		}
+		return false
+	}
+	return true
+}
+
+// disturbedInstance reports whether an instance or its links were disturbed between two
+// times.
+func (w *world) disturbedInstance(name string, from, to time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, d := range w.disturbances {
+		if (d.instance == nil || d.instance.name == name) && d.from.Before(to) && d.to.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
 // plannedStop reports whether the instance was stopped as planned between two
 // times, and whether all else was calm.
 func (w *world) plannedStop(n *instance, from, to time.Time) (stopped, calm bool) {
@@ -354,6 +386,30 @@
 	return true
 }
 
+// writeAgain has the operator write again what it wrote before, after the store came back
+// from a copy.
+func (w *world) writeAgain() {
+	w.mu.Lock()
+	number, last := len(w.versions), w.versions[len(w.versions)-1]
+	out := make(map[string]bool)
+	for _, e := range w.evacuations {
+		out[e.zone] = e.to.IsZero()
+	}
+	w.mu.Unlock()
+	for !w.write(platformtest.ConfigKey, platformtest.EncodeConfig(state(int64(number*3), last.movedTo), keys)) {
+		if !w.pause(announceEvery) {
+			return
+		}
+	}
+	for zone, evacuated := range out {
+		if evacuated {
+			w.write(platformtest.EvacuationPrefix+zone, []byte(`{}`))
+		} else {
+			w.remove(platformtest.EvacuationPrefix + zone)
+		}
+	}
+}
+
 // takeBack ends the evacuations of a zone.
 func (w *world) takeBack(zone string) {
 	w.mu.Lock()
