Planner: models without demand give way where the targets cannot hold a copy of each

Cause: the last copy of a model was never unloaded and models without a copy were restored before anything else. Change: in that case only calls are a reason to load a model without a copy, and the model that has been idle for longest, 4 s at least, gives way. Elsewhere nothing changes.

--- a/internal/residency/demand.go
+++ b/internal/residency/demand.go
@@ -47,6 +47,8 @@
 	rate        map[modelKey]float64
 	ratesAt     time.Time
 	unservedAt  map[modelKey]time.Time
+	// usedAt is when work for a model was last counted.
+	usedAt map[modelKey]time.Time
 	// changed marks the own counts that changed since Updates last returned them.
 	changed map[modelKey]bool
 }
@@ -55,7 +57,7 @@
 func NewDemand() *Demand {
 	return &Demand{
 		own: make(map[modelKey]demandCount), peers: make(map[string]*peerDemand),
-		pendingWork: make(map[modelKey]float64), rate: make(map[modelKey]float64), unservedAt: make(map[modelKey]time.Time),
+		pendingWork: make(map[modelKey]float64), rate: make(map[modelKey]float64), unservedAt: make(map[modelKey]time.Time), usedAt: make(map[modelKey]time.Time),
 		changed: make(map[modelKey]bool),
 	}
 }
@@ -69,6 +71,7 @@
 	c := d.own[key]
 	c.work += float64(work) / float64(time.Millisecond)
 	d.pendingWork[key] += work.Seconds()
+	d.usedAt[key] = now
 	if unserved {
 		c.unserved++
 		d.unservedAt[key] = now
@@ -107,7 +110,8 @@
 	for _, m := range list {
 		key := modelKey{m.Service, m.Model}
 		before, known := p.counts[key]
-		if known || p.complete {
+		if (known || p.complete) && (m.WorkMS > before.work || m.Unserved > before.unserved) {
+			d.usedAt[key] = now
 			d.pendingWork[key] += max(0, m.WorkMS-before.work) / 1000
 			if m.Unserved > before.unserved {
 				d.unservedAt[key] = now
@@ -153,6 +157,20 @@
 	return rates, unserved
 }
 
+// IdleFor returns how long each model of a service has had no demand. Models that never
+// had any are missing.
+func (d *Demand) IdleFor(service string, now time.Time) map[string]time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]time.Duration)
+	for key, at := range d.usedAt {
+		if key.service == service {
+			out[key.model] = now.Sub(at)
+		}
+	}
+	return out
+}
+
 // updateRates requires d.mu. It decays the rates and adds the pending work.
 func (d *Demand) updateRates(now time.Time) {
 	elapsed := now.Sub(d.ratesAt).Seconds()
--- a/internal/residency/plan.go
+++ b/internal/residency/plan.go
@@ -23,6 +23,9 @@
 	// minGainFactor is how many times busier the copies of a model must be than the
 	// remaining copies of the model unloaded for it. It prevents oscillation.
 	minGainFactor = 2.0
+	// minIdle is how long a model must have had no demand before its last copy gives way to
+	// a model with demand, if memory is scarce.
+	minIdle = 4 * time.Second
 )
 
 // TargetState is the planner's view of one target.
@@ -63,6 +66,12 @@
 	Demand map[string]float64
 	// Unserved are the models for which calls found no target.
 	Unserved map[string]bool
+	// IdleFor is how long each model has had no demand; it lacks models that never had any.
+	IdleFor map[string]time.Duration
+	// Scarce is set if the targets of all zones cannot hold a copy of each model. Models
+	// without demand then give way to those with demand, and are loaded when calls ask for
+	// them.
+	Scarce bool
 	// TargetsKnown is set once all targets are known, so that a model that none of them
 	// holds has no copy.
 	TargetsKnown bool
@@ -85,7 +94,7 @@
 func Plan(in PlanInput) []Step {
 	p := newPlanner(in)
 	for _, model := range p.missingModels() {
-		if (in.TargetsKnown || in.Unserved[model]) && (in.MayRestore == nil || in.MayRestore(model)) {
+		if p.mustRestore(model) && (in.MayRestore == nil || in.MayRestore(model)) {
 			p.placeModel(model, 0)
 		}
 	}
@@ -98,6 +107,19 @@
 	return p.steps
 }
 
+// mustRestore reports whether a model without a copy is loaded now. If memory is scarce,
+// only calls for the model are a reason to.
+func (p *planner) mustRestore(model string) bool {
+	return p.Unserved[model] || p.TargetsKnown && !p.Scarce
+}
+
+// isIdle reports whether a model has had no demand for so long that its last copy may give
+// way to a model with demand.
+func (p *planner) isIdle(model string) bool {
+	idle, known := p.IdleFor[model]
+	return p.Scarce && !p.Unserved[model] && (!known || idle >= minIdle)
+}
+
 // planner holds the state of a plan that is being made.
 type planner struct {
 	PlanInput
@@ -192,8 +214,10 @@
 	unload string
 	// cost is the work on each remaining copy of the model to unload.
 	cost float64
-	// copies is the current number of copies of the model to unload.
+	// copies is the current number of copies of the model to unload, idle how long it has
+	// had no demand if it is its last one.
 	copies int
+	idle   time.Duration
 	cached bool
 }
 
@@ -252,18 +276,29 @@
 		if !p.mayUnload(held) || p.freeMemoryMB(target, held) < p.Engine.Models[model].WeightsMB {
 			continue
 		}
-		cost, copies := p.workPerCopy(held, p.copies[held]-1), p.copies[held]
-		if cost < o.cost || cost == o.cost && copies > o.copies {
-			o.unload, o.cost, o.copies = held, cost, copies
+		cost, copies, idle := p.workPerCopy(held, p.copies[held]-1), p.copies[held], time.Duration(0)
+		if p.loadedCopies[held] < 2 {
+			cost, idle = 0, p.idleTime(held)
+		}
+		if cost < o.cost || cost == o.cost && (copies > o.copies || copies == o.copies && idle > o.idle) {
+			o.unload, o.cost, o.copies, o.idle = held, cost, copies, idle
 		}
 	}
 	return o, o.unload != ""
 }
 
+// idleTime returns how long a model has had no demand.
+func (p *planner) idleTime(model string) time.Duration {
+	if idle, known := p.IdleFor[model]; known {
+		return idle
+	}
+	return math.MaxInt64
+}
+
 // mayUnload reports whether a copy of the model may be unloaded.
 func (p *planner) mayUnload(model string) bool {
 	if p.loadedCopies[model] < 2 {
-		return false
+		return p.isIdle(model) && p.copies[model] < 2
 	}
 	return p.localCopies[model] > 1 || p.MayUnloadLast != nil && p.MayUnloadLast(model)
 }
@@ -272,7 +307,6 @@
 // model were unloaded. Memory for all adapter slots is reserved.
 func (p *planner) freeMemoryMB(target TargetState, excluded string) float64 {
 	free := p.Engine.WeightsMB
-	largest := 0.0
 	for _, name := range target.Models {
 		if name == excluded {
 			continue
@@ -283,12 +317,19 @@
 		}
 		free -= m.WeightsMB
 	}
-	for _, m := range p.Engine.Models {
+	return free - adapterReserveMB(p.Engine)
+}
+
+// adapterReserveMB returns the memory of the largest adapters that fill all slots of a
+// target, in megabytes.
+func adapterReserveMB(engine *catalog.Engine) float64 {
+	largest := 0.0
+	for _, m := range engine.Models {
 		if m.Adapters > 0 {
 			largest = max(largest, m.AdapterMB)
 		}
 	}
-	return free - largest*float64(p.Engine.AdapterSlots)
+	return largest * float64(engine.AdapterSlots)
 }
 
 // isBetter prefers options without an unload, then loads from the cache, then the
@@ -306,6 +347,9 @@
 	if a.copies != b.copies {
 		return a.copies > b.copies
 	}
+	if a.idle != b.idle {
+		return a.idle > b.idle
+	}
 	if a.target.QueuedWork != b.target.QueuedWork {
 		return a.target.QueuedWork < b.target.QueuedWork
 	}
--- a/internal/residency/zoneplan.go
+++ b/internal/residency/zoneplan.go
@@ -20,6 +20,7 @@
 	key := zoneService{zone, service}
 	in := PlanInput{Engine: engine, Loading: make(map[string]int), StoreLoadBudget: c.availableLoads(key, engine, view, now)}
 	in.Demand, in.Unserved = c.demand.Rates(service, now)
+	in.IdleFor, in.Scarce = c.demand.IdleFor(service, now), isScarce(engine, len(view.ByService[service]))
 	in.TargetsKnown = c.targetsKnown(service, len(view.ByService[service]), now)
 	c.addOtherZones(&in, zone, service, view, now)
 	byID := make(map[string]*managedTarget, len(list))
@@ -47,6 +48,20 @@
 	}
 }
 
+// isScarce reports whether a number of targets cannot hold a copy of each model.
+func isScarce(engine *catalog.Engine, targets int) bool {
+	total := 0.0
+	for _, m := range engine.Models {
+		total += m.WeightsMB
+	}
+	mean := total / float64(max(1, len(engine.Models)))
+	if mean <= 0 {
+		return false
+	}
+	each := int((engine.WeightsMB - adapterReserveMB(engine)) / mean)
+	return targets > 0 && len(engine.Models) > targets*each
+}
+
 // demandLogInterval is the time between log lines on the demand in a zone.
 const demandLogInterval = 2 * time.Second
 
@@ -68,7 +83,19 @@
 			free++
 		}
 	}
-	fields := log.Fields{"zone": key.zone, "store_loads": in.StoreLoadBudget, "targets": len(in.Targets), "free": free}
+	missing, single := 0, 0
+	for model := range in.Engine.Models {
+		switch copies[model] {
+		case 0:
+			missing++
+		case 1:
+			single++
+		}
+	}
+	fields := log.Fields{
+		"zone": key.zone, "store_loads": in.StoreLoadBudget, "targets": len(in.Targets), "free": free,
+		"models": len(in.Engine.Models), "missing": missing, "single": single,
+	}
 	for model, work := range in.Demand {
 		if work >= minWorkPerCopy {
 			fields[model] = fmt.Sprintf("%.2f/%d", work, copies[model])
