Log tells streams that the instance ended for their silence, and answers that it cut

Cause: an attempt that was aborted because no event came looked in the log like one whose caller left or whose time was over ("use of closed network connection"), and a call that ended within its answer like one that ended with 502. Change: result "stalled" beside "broken" (log and dotterellink_attempts_total), silent_ms since the send or the last event, cut on the line of a call whose connection was closed within the answer.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -95,6 +95,7 @@
 	now := f.Now()
 	f.sends++
 	f.sentAt, f.expectedFirst = now, pick.Expected
+	f.heardAt.Store(now.UnixNano())
 	f.excluded[pick.Target.ID] = true
 	ticket := f.Dispatcher.Begin(pick, f.work, now)
 	f.logSend(pick, now)
@@ -165,8 +166,12 @@
 func (f *forwarder) attemptBroken(ctx context.Context, ticket *dispatch.Ticket, err error) bool {
 	result := f.classify(err)
 	ticket.End(result, f.Now())
-	f.metrics.attempts.WithLabelValues("broken").Inc()
-	f.logAttempt("broken", err)
+	name := "broken"
+	if f.stalled.Swap(false) {
+		name = "stalled"
+	}
+	f.metrics.attempts.WithLabelValues(name).Inc()
+	f.logAttempt(name, err)
 	if result == dispatch.Abandoned {
 		f.finish("caller_left", err)
 		panic(http.ErrAbortHandler)
@@ -213,7 +218,10 @@
 }
 
 func (f *forwarder) logAttempt(result string, err error) {
-	fields := log.Fields{"call": f.call.ID, "result": result, "send": f.sends}
+	fields := log.Fields{
+		"call": f.call.ID, "result": result, "send": f.sends,
+		"silent_ms": f.Now().Sub(time.Unix(0, f.heardAt.Load())).Milliseconds(),
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 		if cause := merry.Cause(err); cause != nil {
@@ -319,6 +327,7 @@
 			return err
 		}
 		stall.reset()
+		f.heardAt.Store(f.Now().UnixNano())
 		next, duplicate := e.follows(f.lastEventID)
 		if duplicate {
 			continue
@@ -351,7 +360,10 @@
 	if !f.route.Resumable || f.runs >= f.route.MaxAttempts {
 		return stallTimer{}
 	}
-	return stallTimer{time.AfterFunc(f.deadline.Sub(f.Now())/2, abort)}
+	return stallTimer{time.AfterFunc(f.deadline.Sub(f.Now())/2, func() {
+		f.stalled.Store(true)
+		abort()
+	})}
 }
 
 // stallTimer is a timer that may be absent.
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -72,10 +73,17 @@
 	// of the answer was relayed.
 	lastEventID string
 	headSent    bool
+	// cut is set if the connection of the caller is closed within the answer.
+	cut bool
 	// sentAt is when the latest attempt was sent. expectedFirst is its expected time
 	// to the first answer, Pick.Expected.
 	sentAt        time.Time
 	expectedFirst time.Duration
+	// heardAt is when the latest attempt was sent or last yielded an event, in Unix
+	// nanoseconds.
+	heardAt atomic.Int64
+	// stalled is set if the latest attempt was aborted because it yielded no event.
+	stalled atomic.Bool
 	// firstAnswerAt is when the first event or answer arrived.
 	firstAnswerAt time.Time
 	// targetError is a server error answered by a target. It is delivered if no later
@@ -230,6 +238,7 @@
 func (f *forwarder) giveUp(reason string, retryAfter time.Duration) {
 	switch {
 	case f.headSent:
+		f.cut = true
 		f.finish(reason, nil)
 		panic(http.ErrAbortHandler)
 	case f.targetError != nil:
@@ -295,6 +304,9 @@
 	if f.route != nil {
 		fields["route"] = f.route.Name
 	}
+	if f.cut {
+		fields["cut"] = true
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
