--- /dev/null
+++ b/internal/passthrough/silence_test.go
@@ -0,0 +1,133 @@
+package passthrough_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dotterellink/dotterellink/internal/catalog"
+	"github.com/dotterellink/dotterellink/internal/fleet"
+)
+
+// silence is longer than a resumable stream waits for its next event before it looks for
+// another target, and shorter than callers wait.
+const silence = 1800 * time.Millisecond
+
+// silentAfter sends the events up to at, falls silent, and then sends the rest.
+func silentAfter(at, until int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		events(1, at, true)(w, r)
+		if at == 0 {
+			_ = http.NewResponseController(w).Flush()
+		}
+		time.Sleep(silence)
+		events(at+1, until, true)(w, r)
+	}
+}
+
+var _ = Describe("Server before a sound target that falls silent", func() {
+	var holder *catalog.Holder
+	var table *fleet.Table
+	var front *httptest.Server
+	var route *catalog.Route
+
+	BeforeEach(func() {
+		holder, table = catalog.NewHolder(), fleet.NewTable()
+		front = httptest.NewServer(newServer(holder, table, &fakeResidency{}))
+		DeferCleanup(front.Close)
+		route = &catalog.Route{
+			Name: "r", Host: "h.example", PathPrefix: "/a/", Kind: catalog.Stream, Resumable: true, Timeout: 3 * time.Second, MaxAttempts: 2,
+			TargetLatency: 2500 * time.Millisecond, Services: []catalog.WeightedService{{Service: "s"}},
+		}
+	})
+
+	start := func(id string, handler http.HandlerFunc) *fakeTarget {
+		s := &fakeTarget{id: id, handler: handler}
+		back := httptest.NewServer(s)
+		DeferCleanup(back.Close)
+		table.Upsert(fleet.Announcement{ID: id, Service: "s", Zone: "z", Slots: 6, Address: strings.TrimPrefix(back.URL, "http://")}, time.Now())
+		return s
+	}
+	send := func() (int, string, error) {
+		s := &catalog.State{
+			Version: 1, Routes: []catalog.Route{*route}, KeyOwners: make(map[catalog.KeyHash]int),
+			Services: map[string]*catalog.Service{"s": {Name: "s", MaxConnections: 100}},
+		}
+		s.Index()
+		holder.SetIfNewer(s, time.Now())
+		r, err := http.NewRequest(http.MethodPost, front.URL+"/a/x", strings.NewReader("body"))
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = "h.example"
+		r.Header.Set("Id", "c1")
+		answer, err := front.Client().Do(r)
+		if err != nil {
+			return 0, "", err
+		}
+		defer answer.Body.Close()
+		body, err := io.ReadAll(answer.Body)
+		return answer.StatusCode, string(body), err
+	}
+
+	// Guards against a stream that was cut because its target paused, although no other
+	// target could continue it.
+	It("keeps a stream open through the silence if no other target can continue it", func() {
+		only := start("t0", silentAfter(2, 4))
+		_, body, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Count(body, "id: ")).To(Equal(4))
+		Expect(only.calls.Load()).To(Equal(int32(1)))
+	})
+
+	// Guards against a call that was ended with an error before its first event, although
+	// no other target could take it.
+	It("waits for the first event through the silence if no other target can take the call", func() {
+		start("t0", silentAfter(0, 4))
+		status, body, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(strings.Count(body, "id: ")).To(Equal(4))
+	})
+
+	// Guards against a stream that was cut when it was moved, because the time that its
+	// caller had waited was counted from the arrival instead of the last event.
+	It("continues a long stream at another target", func() {
+		route.Timeout, route.TargetLatency = 8*time.Second, 100*time.Millisecond
+		handler := func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last") != "" {
+				events(25, 26, true)(w, r)
+				return
+			}
+			for i := range 24 {
+				fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(100 * time.Millisecond)
+			}
+			<-r.Context().Done()
+		}
+		targets := []*fakeTarget{start("t0", handler), start("t1", handler)}
+		_, body, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Count(body, "id: ")).To(Equal(26))
+		Expect(targets[0].calls.Load() + targets[1].calls.Load()).To(Equal(int32(2)))
+	})
+
+	// Guards against an idempotent call that was ended with an error while its only target
+	// was still working on it.
+	It("waits for the answer of an idempotent call if no other target can take it", func() {
+		route.Kind, route.Resumable = catalog.Idempotent, false
+		start("t0", func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(silence)
+			fmt.Fprint(w, "late")
+		})
+		status, body, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("late"))
+	})
+})
