A silent target is left only once another one can take the call over

What callers saw: a stream on a route that may be resumed was cut 1.5 s after its last event (LOST; within the first half of its time 502), an idempotent call got 502 at 55 in 100 of its time, although the target was sound and went on a moment later. Cause: the timers for stalled streams and for the share of an idempotent attempt ended the attempt first, and only then it was decided whether there is another target, room at it, and a retry in the budget. Models that a single target holds have none. Class of fault: what is at hand is given up before a replacement is known. Change: stallWatch looks for a target when the time is over, reserves it together with its cold bound and the retry, and only then ends the attempt; without one it looks again each 100 ms. An idempotent attempt is handed all that is left of the time, as nothing ends it before unless the call moves. Times are kept as durations, since the time of day may jump. Why it works: without a target that can take over, no path ends an attempt but the deadline, the caller or the target itself.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -32,35 +32,56 @@
 
 // attempt makes one attempt and reports whether another must follow.
 func (f *forwarder) attempt(ctx context.Context) bool {
-	pick, ok := f.pick(ctx)
+	pick, ok := f.nextPick(ctx)
 	if !ok {
 		return false
 	}
-	attemptCtx, cancel := f.attemptContext(ctx)
+	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	response, ticket, err := f.send(attemptCtx, pick)
+	ticket := f.begin(pick)
+	watch := f.watchStall(cancel)
+	defer watch.stop()
+	response, err := f.send(attemptCtx, pick)
 	if err != nil {
-		return f.sendFailed(ctx, ticket, err)
+		return f.sendFailed(ctx, ticket, watch, err)
 	}
 	defer response.Close()
 	outcome := f.Dialect.Outcome(response.Status, response.Header)
 	f.OnNotice(pick.Target, outcome.Notice)
 	switch {
 	case outcome.NotRun:
+		watch.stop()
 		return f.attemptRejected(ticket, response, outcome)
 	case response.Status < http.StatusMultipleChoices && !outcome.Authentic:
-		f.runs++
-		return f.attemptBroken(ctx, ticket, errNotAuthentic)
+		return f.attemptBroken(ctx, ticket, watch, errNotAuthentic)
 	case promisesNotRun(response.Status):
-		f.runs++
-		return f.attemptBroken(ctx, ticket, errFalsePromise)
+		return f.attemptBroken(ctx, ticket, watch, errFalsePromise)
 	}
-	f.runs++
 	response.Limit(maxAnswer)
 	if f.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices {
-		return f.relayStream(ctx, cancel, ticket, response)
+		return f.relayStream(ctx, ticket, watch, response)
+	}
+	return f.relayAnswer(ctx, ticket, watch, response)
+}
+
+// nextPick returns the target that was reserved for the call during the last attempt, or
+// picks one.
+func (f *forwarder) nextPick(ctx context.Context) (dispatch.Pick, bool) {
+	if reserved := f.reserved; reserved != nil {
+		f.reserved = nil
+		return *reserved, true
 	}
-	return f.relayAnswer(ctx, ticket, response)
+	return f.pick(ctx)
+}
+
+// begin records that the next attempt goes to the picked target.
+func (f *forwarder) begin(pick dispatch.Pick) *dispatch.Ticket {
+	now := f.Now()
+	f.sends++
+	f.sentAt, f.expectedFirst = now, pick.Expected
+	f.excluded[pick.Target.ID] = true
+	f.logSend(pick, now)
+	return f.Dispatcher.Begin(pick, f.work, now)
 }
 
 // promisesNotRun reports whether a status tells a caller that its call has not run and
@@ -75,43 +96,24 @@
 
 var errNotAuthentic = errors.New("answer lacks the target's authentication")
 
-// attemptContext bounds one attempt of an idempotent call so that there is time for
-// another if one is allowed.
-func (f *forwarder) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	if f.route.Kind == catalog.Idempotent && f.mayRetry() {
-		left := f.deadline.Sub(f.Now())
-		return context.WithTimeout(ctx, time.Duration(attemptShare*float64(left)))
-	}
-	return context.WithCancel(ctx)
-}
-
 // mayRetry reports whether the route allows another run after the next one.
 func (f *forwarder) mayRetry() bool { return f.route.Repeatable() && f.runs+1 < f.route.MaxAttempts }
 
 // send sends the call to the picked target.
-func (f *forwarder) send(ctx context.Context, pick dispatch.Pick) (*upstream.Response, *dispatch.Ticket, error) {
+func (f *forwarder) send(ctx context.Context, pick dispatch.Pick) (*upstream.Response, error) {
 	ctx, span := f.Tracer.Start(ctx, "attempt")
 	defer span.End()
-	now := f.Now()
-	f.sends++
-	f.sentAt, f.expectedFirst = now, pick.Expected
-	f.heardAt.Store(now.UnixNano())
-	f.excluded[pick.Target.ID] = true
-	ticket := f.Dispatcher.Begin(pick, f.work, now)
-	f.logSend(pick, now)
-	deadline, _ := ctx.Deadline()
 	idle := maxIdleNonRepeatable
 	if f.route.Repeatable() {
 		idle = maxIdleRepeatable
 	}
-	response, err := f.Upstream.Do(ctx, &upstream.Request{
+	return f.Upstream.Do(ctx, &upstream.Request{
 		TargetID: pick.Target.ID, Address: pick.Target.Address,
 		Method: f.call.Method, URI: f.call.URI, Host: f.call.Host,
-		Header: f.Dialect.AttemptHeader(f.call, f.attemptInfo(pick, deadline.Sub(now))),
-		Body:   f.call.Body, HasBody: f.call.HasBody, MaxIdle: idle, Deadline: deadline,
+		Header: f.Dialect.AttemptHeader(f.call, f.attemptInfo(pick, f.deadline.Sub(f.sentAt))),
+		Body:   f.call.Body, HasBody: f.call.HasBody, MaxIdle: idle, Deadline: f.deadline,
 		MatchesCall: func(h http.Header) bool { return f.Dialect.Outcome(http.StatusOK, h).ID == f.call.ID },
 	})
-	return response, ticket, err
 }
 
 func (f *forwarder) attemptInfo(pick dispatch.Pick, remaining time.Duration) call.Attempt {
@@ -137,8 +139,9 @@
 
 // sendFailed handles a send that got no answer and reports whether another attempt
 // must follow.
-func (f *forwarder) sendFailed(ctx context.Context, ticket *dispatch.Ticket, err error) bool {
+func (f *forwarder) sendFailed(ctx context.Context, ticket *dispatch.Ticket, watch *stallWatch, err error) bool {
 	if errors.Is(err, upstream.ErrNotSent) && f.r.Context().Err() == nil {
+		watch.stop()
 		f.connectFailures++
 		ticket.End(dispatch.Unreachable, f.Now())
 		f.suspectRestart(ticket.TargetID(), err)
@@ -146,8 +149,7 @@
 		f.logAttempt("unreachable", err)
 		return f.retryOrGiveUp(ctx, "unreachable", false)
 	}
-	f.runs++
-	return f.attemptBroken(ctx, ticket, err)
+	return f.attemptBroken(ctx, ticket, watch, err)
 }
 
 // suspectRestart marks a target that refused the connection as possibly cold: its
@@ -163,11 +165,13 @@
 
 // attemptBroken handles an attempt that may have run but has no complete answer, and
 // reports whether another attempt must follow.
-func (f *forwarder) attemptBroken(ctx context.Context, ticket *dispatch.Ticket, err error) bool {
+func (f *forwarder) attemptBroken(ctx context.Context, ticket *dispatch.Ticket, watch *stallWatch, err error) bool {
+	standby := watch.stop()
+	f.runs++
 	result := f.classify(err)
 	ticket.End(result, f.Now())
 	name := "broken"
-	if f.stalled.Swap(false) {
+	if standby != nil {
 		name = "stalled"
 	}
 	f.metrics.attempts.WithLabelValues(name).Inc()
@@ -176,6 +180,10 @@
 		f.finish("caller_left", err)
 		panic(http.ErrAbortHandler)
 	}
+	if standby != nil && ctx.Err() == nil {
+		f.reserved = standby
+		return true
+	}
 	if !f.route.Repeatable() || f.runs >= f.route.MaxAttempts {
 		f.giveUp("target_failed", 0)
 		return false
@@ -220,7 +228,7 @@
 func (f *forwarder) logAttempt(result string, err error) {
 	fields := log.Fields{
 		"call": f.call.ID, "result": result, "send": f.sends,
-		"silent_ms": f.Now().Sub(time.Unix(0, f.heardAt.Load())).Milliseconds(),
+		"silent_ms": f.Now().Sub(later(f.sentAt, f.lastEventTime())).Milliseconds(),
 	}
 	if err != nil {
 		fields["error"] = err.Error()
@@ -233,11 +241,13 @@
 
 // relayAnswer relays an answer that is not a stream. An incomplete answer or a server
 // error leads to a retry if one is allowed.
-func (f *forwarder) relayAnswer(ctx context.Context, ticket *dispatch.Ticket, response *upstream.Response) bool {
+func (f *forwarder) relayAnswer(ctx context.Context, ticket *dispatch.Ticket, watch *stallWatch, response *upstream.Response) bool {
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedAnswer))
 	if err != nil {
-		return f.attemptBroken(ctx, ticket, err)
+		return f.attemptBroken(ctx, ticket, watch, err)
 	}
+	watch.stop()
+	f.runs++
 	now := f.Now()
 	ticket.FirstAnswer(now)
 	f.recordFirstAnswer(now)
@@ -298,9 +308,11 @@
 
 // relayStream relays events as they arrive. A stream that breaks off continues at
 // another target if the route allows it.
-func (f *forwarder) relayStream(ctx context.Context, abort func(), ticket *dispatch.Ticket, response *upstream.Response) bool {
-	err := f.copyEvents(abort, ticket, response)
+func (f *forwarder) relayStream(ctx context.Context, ticket *dispatch.Ticket, watch *stallWatch, response *upstream.Response) bool {
+	err := f.copyEvents(ticket, watch, response)
 	if err == nil {
+		watch.stop()
+		f.runs++
 		ticket.End(dispatch.Served, f.Now())
 		if !f.headSent {
 			f.writeHead(response.Status, response.Header)
@@ -309,15 +321,13 @@
 		return false
 	}
 	response.Close()
-	return f.attemptBroken(ctx, ticket, err)
+	return f.attemptBroken(ctx, ticket, watch, err)
 }
 
 // copyEvents relays complete events until the stream ends.
-func (f *forwarder) copyEvents(abort func(), ticket *dispatch.Ticket, response *upstream.Response) error {
+func (f *forwarder) copyEvents(ticket *dispatch.Ticket, watch *stallWatch, response *upstream.Response) error {
 	events := newEventReader(response)
 	flusher := http.NewResponseController(f.w)
-	stall := f.startStallTimer(abort)
-	defer stall.stop()
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -326,8 +336,8 @@
 		if err != nil {
 			return err
 		}
-		stall.reset()
-		f.heardAt.Store(f.Now().UnixNano())
+		now := f.Now()
+		watch.received(now)
 		next, duplicate := e.follows(f.lastEventID)
 		if duplicate {
 			continue
@@ -336,9 +346,10 @@
 			return errMissingEvent
 		}
 		if !f.headSent {
-			f.startStream(ticket, response)
+			f.startStream(response)
 		}
-		ticket.FirstAnswer(f.Now())
+		ticket.FirstAnswer(now)
+		f.lastEventAfter.Store(int64(now.Sub(f.call.Arrived)))
 		if e.id != "" {
 			f.lastEventID = e.id
 		}
@@ -353,36 +364,21 @@
 
 var errMissingEvent = errors.New("event missing from stream")
 
-// startStallTimer aborts an attempt of a resumable stream if no event arrives within
-// stallTimeout and another run is allowed. The first event may take half of the
-// remaining time.
-func (f *forwarder) startStallTimer(abort func()) stallTimer {
-	if !f.route.Resumable || f.runs >= f.route.MaxAttempts {
-		return stallTimer{}
-	}
-	return stallTimer{time.AfterFunc(f.deadline.Sub(f.Now())/2, func() {
-		f.stalled.Store(true)
-		abort()
-	})}
+func (f *forwarder) startStream(response *upstream.Response) {
+	now := f.Now()
+	f.recordFirstAnswer(now)
+	f.writeHead(response.Status, response.Header)
 }
 
-// stallTimer is a timer that may be absent.
-type stallTimer struct{ timer *time.Timer }
-
-func (s stallTimer) reset() {
-	if s.timer != nil {
-		s.timer.Reset(stallTimeout)
-	}
+// lastEventTime returns when the last event was relayed, or when the call arrived if none
+// was.
+func (f *forwarder) lastEventTime() time.Time {
+	return f.call.Arrived.Add(time.Duration(f.lastEventAfter.Load()))
 }
 
-func (s stallTimer) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-}
-
-func (f *forwarder) startStream(ticket *dispatch.Ticket, response *upstream.Response) {
-	now := f.Now()
-	f.recordFirstAnswer(now)
-	f.writeHead(response.Status, response.Header)
+	return a
 }
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -34,12 +34,6 @@
 	maxIdleNonRepeatable = 1500 * time.Millisecond
 	// maxIdleRepeatable is the same for calls that may run again.
 	maxIdleRepeatable = 4 * time.Second
-	// attemptShare is the share of the remaining time that one attempt gets if
-	// another may follow.
-	attemptShare = 0.55
-	// stallTimeout is the time without an event after which a resumable stream is
-	// moved to another target. Callers give up after two seconds or more.
-	stallTimeout = 1500 * time.Millisecond
 )
 
 // forwarder handles one call from admission to its final answer. It is used by one
@@ -79,11 +73,11 @@
 	// to the first answer, Pick.Expected.
 	sentAt        time.Time
 	expectedFirst time.Duration
-	// heardAt is when the latest attempt was sent or last yielded an event, in Unix
-	// nanoseconds.
-	heardAt atomic.Int64
-	// stalled is set if the latest attempt was aborted because it yielded no event.
-	stalled atomic.Bool
+	// reserved is the target of the next attempt if a stalled one was aborted for it.
+	reserved *dispatch.Pick
+	// lastEventAfter is the time.Duration from the arrival of the call to its last relayed
+	// event, 0 before the first.
+	lastEventAfter atomic.Int64
 	// firstAnswerAt is when the first event or answer arrived.
 	firstAnswerAt time.Time
 	// targetError is a server error answered by a target. It is delivered if no later
