A stream may move to another target for as long as its caller waits for the next event

What callers saw: a stream older than its caller's patience for the first event (2 s, four times the aim or eight times the pause, whichever is longest) was cut when its target broke off or stalled, although another target could have continued it. Cause: the time that the caller had waited was counted from the arrival of the call, so that each move of such a stream was refused as too late, and a call whose answer has begun can only be cut then. Evidence: the spec "continues a long stream at another target" failed on the code before (unexpected EOF) and passes now. Change: the patience counts from the last relayed event.

--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -96,14 +96,15 @@
 	callerWaitEventGaps       = 8
 )
 
-// firstAnswerBudget returns how much longer the caller waits for the first answer.
+// firstAnswerBudget returns how much longer the caller waits for the first event, or for
+// the next one if the stream has begun, or for the answer of a call that is no stream.
 func (f *forwarder) firstAnswerBudget(now time.Time) time.Duration {
 	left := f.deadline.Sub(now)
 	if f.route.Kind != catalog.Stream {
 		return left
 	}
 	callerWait := max(minCallerWait, callerWaitTargetLatencies*f.route.TargetLatency, callerWaitEventGaps*f.route.EventGap)
-	return min(left, callerWait-now.Sub(f.call.Arrived))
+	return min(left, callerWait-now.Sub(f.lastEventTime()))
 }
 
 func (f *forwarder) query(service *catalog.Service, now time.Time) dispatch.Query {
