A stream is moved to another target later if its caller waits for longer

Cause: one constant for all routes. Change: three tenths of the time that the caller waits for an event, 1.5 s at least, which is what it was for callers that wait for 2 s. The specs on silences use such a caller, so that they test the move at 1.5 s as before.

--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -88,7 +88,7 @@
 }
 
 const (
-	// Callers wait for the first event of a stream for minCallerWait or for these
+	// Callers wait for each event of a stream for minCallerWait or for these
 	// multiples of the route's target latency and event gap, whichever is longest.
 	// Source: the platform's documentation of streams.
 	minCallerWait             = 2 * time.Second
@@ -103,8 +103,12 @@
 	if f.route.Kind != catalog.Stream {
 		return left
 	}
-	callerWait := max(minCallerWait, callerWaitTargetLatencies*f.route.TargetLatency, callerWaitEventGaps*f.route.EventGap)
-	return min(left, callerWait-now.Sub(f.lastEventTime()))
+	return min(left, f.callerWait()-now.Sub(f.lastEventTime()))
+}
+
+// callerWait returns how long a caller waits for each event of a stream.
+func (f *forwarder) callerWait() time.Duration {
+	return max(minCallerWait, callerWaitTargetLatencies*f.route.TargetLatency, callerWaitEventGaps*f.route.EventGap)
 }
 
 func (f *forwarder) query(service *catalog.Service, now time.Time) dispatch.Query {
--- a/internal/passthrough/silence_test.go
+++ b/internal/passthrough/silence_test.go
@@ -15,8 +15,8 @@
 	"github.com/dotterellink/dotterellink/internal/fleet"
 )
 
-// silence is longer than a resumable stream waits for its next event before it looks for
-// another target, and shorter than callers wait.
+// silence is longer than the shortest time after which a resumable stream looks for another
+// target, and shorter than callers wait.
 const silence = 1800 * time.Millisecond
 
 // silentAfter sends the events up to at, falls silent, and then sends the rest.
@@ -43,7 +43,7 @@
 		DeferCleanup(front.Close)
 		route = &catalog.Route{
 			Name: "r", Host: "h.example", PathPrefix: "/a/", Kind: catalog.Stream, Resumable: true, Timeout: 3 * time.Second, MaxAttempts: 2,
-			TargetLatency: 2500 * time.Millisecond, Services: []catalog.WeightedService{{Service: "s"}},
+			TargetLatency: 100 * time.Millisecond, Services: []catalog.WeightedService{{Service: "s"}},
 		}
 	})
 
@@ -84,6 +84,17 @@
 		Expect(only.calls.Load()).To(Equal(int32(1)))
 	})
 
+	// Guards against a second run of a stream whose target is sound: its caller would wait for
+	// far longer than the silence lasts.
+	It("does not move a stream whose caller waits for longer than the silence", func() {
+		route.TargetLatency = 2500 * time.Millisecond
+		targets := []*fakeTarget{start("t0", silentAfter(2, 4)), start("t1", silentAfter(2, 4))}
+		_, body, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Count(body, "id: ")).To(Equal(4))
+		Expect(targets[0].calls.Load() + targets[1].calls.Load()).To(Equal(int32(1)))
+	})
+
 	// Guards against a call that was ended with an error before its first event, although
 	// no other target could take it.
 	It("waits for the first event through the silence if no other target can take the call", func() {
@@ -97,7 +108,7 @@
 	// Guards against a stream that was cut when it was moved, because the time that its
 	// caller had waited was counted from the arrival instead of the last event.
 	It("continues a long stream at another target", func() {
-		route.Timeout, route.TargetLatency = 8*time.Second, 100*time.Millisecond
+		route.Timeout = 8 * time.Second
 		handler := func(w http.ResponseWriter, r *http.Request) {
 			if r.Header.Get("Last") != "" {
 				events(25, 26, true)(w, r)
--- a/internal/passthrough/stall.go
+++ b/internal/passthrough/stall.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// stallTimeout is the time without an event after which a resumable stream is moved to
-	// another target. Callers give up after two seconds or more.
-	stallTimeout = 1500 * time.Millisecond
+	// minStallTimeout and stallShareOfWait bound the time without an event after which a
+	// resumable stream is moved to another target: a share of the time that its caller
+	// waits for an event, which is two seconds or more.
+	minStallTimeout  = 1500 * time.Millisecond
+	stallShareOfWait = 0.3
 	// firstEventShare is the share of the remaining time after which a resumable stream
 	// without any event from its target is moved, and idempotentShare that after which an
 	// idempotent call without an answer is.
@@ -27,6 +29,9 @@
 // without another one waiting is the best choice.
 type stallWatch struct {
 	startedAt time.Time
+	// timeout is the time without a further event after which the attempt counts as
+	// stalled.
+	timeout time.Duration
 	// dueAfter is the time.Duration from startedAt after which the attempt counts as
 	// stalled. Each event moves it.
 	dueAfter atomic.Int64
@@ -40,7 +45,7 @@
 
 // watchStall starts to watch the attempt that is about to be sent. abort ends it.
 func (f *forwarder) watchStall(abort func()) *stallWatch {
-	w := &stallWatch{startedAt: f.Now()}
+	w := &stallWatch{startedAt: f.Now(), timeout: max(minStallTimeout, time.Duration(stallShareOfWait*float64(f.callerWait())))}
 	share := f.stallShare()
 	if share == 0 {
 		return w
@@ -90,7 +95,7 @@
 
 // received records an event of the attempt.
 func (w *stallWatch) received(now time.Time) {
-	w.dueAfter.Store(int64(now.Sub(w.startedAt) + stallTimeout))
+	w.dueAfter.Store(int64(now.Sub(w.startedAt) + w.timeout))
 }
 
 // stop ends the watch and returns the target that takes over, or nil.
