--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -140,6 +140,9 @@
 	Announcement
 	// Removed is set if the entry was removed. Only the ID is used then.
 	Removed bool
+	// Stale is set if the announcement may be older than what is known of its run. It is
+	// then used only if it is not.
+	Stale bool
 }
 
 // Apply applies changes in order and rebuilds the view once. Rebuilding takes a
@@ -153,6 +156,9 @@
 			t.remove(c.ID, now)
 			continue
 		}
+		if c.Stale && t.knowsLater(c.Announcement) {
+			continue
+		}
 		t.upsert(c.Announcement, now)
 	}
 	t.publish()
@@ -164,6 +170,16 @@
 	t.Apply([]Change{{Announcement: a}}, now)
 }
 
+// knowsLater requires t.mu. It reports whether the table knows a later announcement of the
+// same run, or that the run has left since.
+func (t *Table) knowsLater(a Announcement) bool {
+	if old := t.targets[a.ID]; old != nil {
+		return old.BornMS == a.BornMS && old.Announcements > a.Announcements
+	}
+	d, ok := t.departed[a.ID]
+	return ok && d.BornMS == a.BornMS && d.Announcements >= a.Announcements
+}
+
 // upsert requires t.mu.
 func (t *Table) upsert(a Announcement, now time.Time) {
 	old := t.targets[a.ID]
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/dotterellink/dotterellink/internal/allowance"
@@ -145,11 +146,14 @@
 		s.applyConfigObjects(list, now)
 		return
 	}
-	if s.targets.Version() > 0 && !s.storeIsLost() {
+	known := s.targets.Version()
+	if known > 0 && !s.storeIsLost() {
 		return
 	}
 	if u.Prefix == s.source.TargetPrefix {
-		s.applyTargetChanges(list, now)
+		// All changes up to the known version were received, among them removals.
+		list = slices.DeleteFunc(list, func(o platform.Object) bool { return known > 0 && uint64(o.Version) <= known })
+		s.applyTargetChanges(list, known == 0, now)
 		return
 	}
 	for _, o := range list {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -124,7 +124,9 @@
 func (s configSink) Replace(list []platform.Object, now time.Time) { s.applyConfigObjects(list, now) }
 func (s configSink) Change(list []platform.Object, now time.Time)  { s.applyConfigObjects(list, now) }
 func (s targetSink) Replace(list []platform.Object, now time.Time) { s.replaceTargets(list, now) }
-func (s targetSink) Change(list []platform.Object, now time.Time)  { s.applyTargetChanges(list, now) }
+func (s targetSink) Change(list []platform.Object, now time.Time) {
+	s.applyTargetChanges(list, false, now)
+}
 func (s evacuationSink) Replace(list []platform.Object, now time.Time) {
 	s.replaceEvacuations(list, now)
 }
@@ -210,7 +212,9 @@
 	return a, true
 }
 
-func (s *storeState) applyTargetChanges(list []platform.Object, now time.Time) {
+// applyTargetChanges applies changed entries of targets. If stale is set, they may be older
+// than what is known.
+func (s *storeState) applyTargetChanges(list []platform.Object, stale bool, now time.Time) {
 	var changes []fleet.Change
 	var announced []fleet.Announcement
 	s.mu.Lock()
@@ -225,7 +229,7 @@
 			continue
 		}
 		s.rawTargets[o.Key] = o
-		changes = append(changes, fleet.Change{Announcement: a})
+		changes = append(changes, fleet.Change{Announcement: a, Stale: stale})
 		announced = append(announced, a)
 	}
 	s.mu.Unlock()
