Upstream: one lost keep-alive probe does not cut a call

Callers saw: nothing yet; found by reading and shown by a spec. A call that waited for two seconds for its answer, as one does that waits for its first token, failed if a single keep-alive probe or its acknowledgement was lost, or if the target's machine acknowledged nothing for a moment.

Cause: Linux applies TCP_USER_TIMEOUT to keep-alive probes in place of their count. Probes go out after 1 s and 2 s of silence. With 2 s, the connection was closed when the second was due, if the first had no acknowledgement.

Change: three probes have to remain unanswered, so that connections are closed 4 s after the last segment. A target that is gone is noticed 4 s instead of 2 s after the last segment on connections that are open; dials still fail after 0.4 s.

Measured: the target in the specs drops segments by a socket filter. A silence of 0.6 s and one of 2 s cut the call after 2 s before; it is answered now. A silence without end is noticed within 5 s.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,10 +30,12 @@
 	keepAliveInterval = time.Second
 	// keepAliveProbes is the number of unacknowledged probes after which the
 	// connection is closed.
-	keepAliveProbes = 2
+	keepAliveProbes = 3
 	// unackedTimeout is the time after which a connection is closed if sent bytes
-	// are not acknowledged.
-	unackedTimeout = 2 * time.Second
+	// are not acknowledged. Linux applies it to keep-alive probes too, in place of
+	// keepAliveProbes: three have to remain unanswered. A sound target may fall silent
+	// for more than a second.
+	unackedTimeout = (1 + keepAliveProbes) * keepAliveInterval
 	// maxSkippedResponses is the maximum number of responses to other calls that
 	// are skipped before the call fails.
 	maxSkippedResponses = 2
