Streams: a line that fills the read buffer does not end its event

Callers saw: nothing yet; found by reading and shown by specs. A stream that broke off within an event ended as a complete one if the last line of the event filled the buffer of 4 KiB, and a resumed stream joined the incomplete event with the next.

Cause: the part of a line that follows a full buffer was read as a line of its own: a blank line, or an event ID.

Measured: of the new specs of answers that break off, the one within an event of a long line failed before, and so did the one of a complete event whose long line contains an ID. The 24 others passed: answers with a length, with chunks and with neither, with and without reset, large ones, HTTP/1.0, HEAD, trailers.

--- /dev/null
+++ b/internal/passthrough/broken_test.go
@@ -0,0 +1,139 @@
+package passthrough_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dotterellink/dotterellink/internal/catalog"
+	"github.com/dotterellink/dotterellink/internal/fleet"
+	"github.com/dotterellink/dotterellink/internal/passthrough"
+)
+
+var _ = Describe("Server before a target whose answer breaks off", func() {
+	var server *passthrough.Server
+	var front *httptest.Server
+	var route *catalog.Route
+	var calls atomic.Int32
+	var answer func(q *http.Request) string
+	// reset makes the target reset the connection after its answer.
+	var reset bool
+
+	BeforeEach(func() {
+		calls.Store(0)
+		reset = false
+		table := fleet.NewTable()
+		for _, id := range []string{"t0", "t1"} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(l.Close)
+			table.Upsert(fleet.Announcement{ID: id, Service: "s", Zone: "z", Slots: 6, Address: l.Addr().String()}, time.Now())
+			go func() {
+				for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+					q, err := http.ReadRequest(bufio.NewReader(c))
+					if err == nil {
+						calls.Add(1)
+						_, _ = io.Copy(io.Discard, q.Body)
+						head, rest, _ := strings.Cut(answer(q), "\r\n")
+						_, _ = fmt.Fprintf(c, "%s\r\nId: %s\r\nSeal: %s\r\n%s", head, q.Header.Get("Id"), id, rest)
+					}
+					if reset {
+						// The bytes have to arrive before the reset.
+						time.Sleep(50 * time.Millisecond)
+						_ = c.(*net.TCPConn).SetLinger(0)
+					}
+					c.Close()
+				}
+			}()
+		}
+		route = &catalog.Route{Name: "r", Host: "h.example", PathPrefix: "/a/", Timeout: 2 * time.Second, MaxAttempts: 1, Anonymous: true, Services: []catalog.WeightedService{{Service: "s"}}}
+		holder := catalog.NewHolder()
+		state := &catalog.State{Version: 1, KeyOwners: make(map[catalog.KeyHash]int), Services: map[string]*catalog.Service{"s": {Name: "s", MaxConnections: 100}}}
+		server = newServer(holder, table, &fakeResidency{})
+		front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if holder.Current() == nil {
+				state.Routes = []catalog.Route{*route}
+				state.Index()
+				holder.SetIfNewer(state, time.Now())
+			}
+			server.ServeHTTP(w, r)
+		}))
+		DeferCleanup(front.Close)
+	})
+	send := func(method string) (int, string, error) {
+		r, err := http.NewRequest(method, front.URL+"/a/x", strings.NewReader("body"))
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = "h.example"
+		r.Header.Set("Id", "c1")
+		response, err := front.Client().Do(r)
+		if err != nil {
+			return 0, "", err
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		return response.StatusCode, string(body), err
+	}
+	const sse = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	event := func(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+	DescribeTable("does not relay it as a complete answer",
+		func(kind catalog.Kind, withReset bool, text string) {
+			route.Kind, reset = kind, withReset
+			answer = func(*http.Request) string { return text }
+			status, body, err := send(http.MethodPost)
+			if err == nil {
+				Expect(status).To(Equal(http.StatusBadGateway), "%.100s", body)
+			}
+			Expect(calls.Load()).To(Equal(int32(1)))
+		},
+		Entry("length", catalog.AtMostOnce, false, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"),
+		Entry("length, with reset", catalog.AtMostOnce, true, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"),
+		Entry("length, HTTP/1.0", catalog.AtMostOnce, false, "HTTP/1.0 200 OK\r\nContent-Length: 9\r\n\r\nhalf"),
+		Entry("length, large", catalog.AtMostOnce, false, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("x", 150_000)),
+		Entry("chunks", catalog.AtMostOnce, false, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk("half")),
+		Entry("chunks, large", catalog.AtMostOnce, false, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(strings.Repeat("x", 150_000))),
+		Entry("chunks, within one", catalog.AtMostOnce, false, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf"),
+		Entry("chunks, within the trailer", catalog.AtMostOnce, false, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n"+chunk("all")+"0\r\nX: 1\r\n"),
+		Entry("neither, with reset", catalog.AtMostOnce, true, "HTTP/1.1 200 OK\r\n\r\nhalf"),
+		Entry("neither, large, with reset", catalog.AtMostOnce, true, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 150_000)),
+		Entry("within the head", catalog.AtMostOnce, false, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"),
+		Entry("stream of chunks, between events", catalog.Stream, false, sse+"Transfer-Encoding: chunked\r\n\r\n"+chunk(event(1))),
+		Entry("stream of chunks, after the last event, with reset", catalog.Stream, true, sse+"Transfer-Encoding: chunked\r\n\r\n"+chunk(event(1))),
+		Entry("stream of chunks that ends within an event", catalog.Stream, false, sse+"Transfer-Encoding: chunked\r\n\r\n"+chunk(event(1)+"id: 2\ndata")+"0\r\n\r\n"),
+		Entry("stream with neither, within an event", catalog.Stream, false, sse+"\r\n"+event(1)+"id: 2\ndata: x\n"),
+		Entry("stream with neither, between events, with reset", catalog.Stream, true, sse+"\r\n"+event(1)),
+		// Guards against an event that looks complete because its line fills the buffer.
+		Entry("stream with neither, within an event of a long line", catalog.Stream, false, sse+"\r\nid: 1\ndata: "+strings.Repeat("x", 4096-len("data: "))+"\n"),
+		Entry("stream with a length, between events", catalog.Stream, false, sse+"Content-Length: 100\r\n\r\n"+event(1)),
+	)
+
+	DescribeTable("relays a complete answer of the same form",
+		func(kind catalog.Kind, method, text, want string) {
+			route.Kind = kind
+			answer = func(*http.Request) string { return text }
+			status, body, err := send(method)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(body).To(Equal(want))
+		},
+		Entry("neither", catalog.AtMostOnce, http.MethodPost, "HTTP/1.1 200 OK\r\n\r\nall", "all"),
+		Entry("neither, large", catalog.AtMostOnce, http.MethodPost, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 150_000), strings.Repeat("x", 150_000)),
+		Entry("HTTP/1.0", catalog.AtMostOnce, http.MethodPost, "HTTP/1.0 200 OK\r\n\r\nall", "all"),
+		Entry("HEAD", catalog.AtMostOnce, http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", ""),
+		Entry("trailer", catalog.AtMostOnce, http.MethodPost, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n"+chunk("all")+"0\r\nX: 1\r\n\r\n", "all"),
+		Entry("stream with neither", catalog.Stream, http.MethodPost, sse+"\r\n"+event(1)+event(2), event(1)+event(2)),
+		Entry("stream of chunks without events", catalog.Stream, http.MethodPost, sse+"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ""),
+		Entry("stream with a long line", catalog.Stream, http.MethodPost, sse+"\r\nid: 1\ndata: "+strings.Repeat("x", 4096-len("data: "))+"id: 9\n\n"+event(2),
+			"id: 1\ndata: "+strings.Repeat("x", 4096-len("data: "))+"id: 9\n\n"+event(2)),
+	)
+})
--- a/internal/passthrough/events.go
+++ b/internal/passthrough/events.go
@@ -34,9 +34,11 @@
 // errTruncatedEvent if the stream ends within an event or the event is too large.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	// A line that is longer than the buffer arrives in parts.
+	lineStart := 0
 	for {
-		line, err := e.in.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
+		part, err := e.in.ReadSlice('\n')
+		ev.raw = append(ev.raw, part...)
 		if len(ev.raw) > maxEventBytes {
 			return event{}, errTruncatedEvent
 		}
@@ -48,7 +50,8 @@
 		case err != nil:
 			return event{}, err
 		}
-		content := bytes.TrimRight(line, "\r\n")
+		content := bytes.TrimRight(ev.raw[lineStart:], "\r\n")
+		lineStart = len(ev.raw)
 		if len(content) == 0 {
 			return ev, nil
 		}
