--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -33,12 +34,6 @@
 	maxIdleNonRepeatable = 1500 * time.Millisecond
 	// maxIdleRepeatable is the same for calls that may run again.
 	maxIdleRepeatable = 4 * time.Second
-	// attemptShare is the share of the remaining time that one attempt gets if
-	// another may follow.
-	attemptShare = 0.55
-	// stallTimeout is the time without an event after which a resumable stream is
-	// moved to another target. Callers give up after two seconds or more.
-	stallTimeout = 1500 * time.Millisecond
 )
 
 // forwarder handles one call from admission to its final answer. It is used by one
@@ -72,10 +67,17 @@
 	// of the answer was relayed.
 	lastEventID string
 	headSent    bool
+	// cut is set if the connection of the caller is closed within the answer.
+	cut bool
 	// sentAt is when the latest attempt was sent. expectedFirst is its expected time
 	// to the first answer, Pick.Expected.
 	sentAt        time.Time
 	expectedFirst time.Duration
+	// reserved is the target of the next attempt if a stalled one was aborted for it.
+	reserved *dispatch.Pick
+	// lastEventAfter is the time.Duration from the arrival of the call to its last relayed
+	// event, 0 before the first.
+	lastEventAfter atomic.Int64
 	// firstAnswerAt is when the first event or answer arrived.
 	firstAnswerAt time.Time
 	// targetError is a server error answered by a target. It is delivered if no later
@@ -230,6 +232,7 @@
 func (f *forwarder) giveUp(reason string, retryAfter time.Duration) {
 	switch {
 	case f.headSent:
+		f.cut = true
 		f.finish(reason, nil)
 		panic(http.ErrAbortHandler)
 	case f.targetError != nil:
@@ -295,6 +298,9 @@
 	if f.route != nil {
 		fields["route"] = f.route.Name
 	}
+	if f.cut {
+		fields["cut"] = true
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
