Streams: one that ends with its connection before the first event is not complete

Callers saw: nothing yet; found by reading and shown by a spec. A target that ended after the head of a stream without length and chunks left its caller with an empty 200.

Cause: the end of such a stream is the end of its connection, which a target that ends before it begins the stream closes as well.

Change: it counts as broken off: another target gets the call if the route allows it, else the caller gets 502. A stream of chunks without events, and the answer to HEAD, stay complete.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -310,6 +310,9 @@
 // another target if the route allows it.
 func (f *forwarder) relayStream(ctx context.Context, ticket *dispatch.Ticket, watch *stallWatch, response *upstream.Response) bool {
 	err := f.copyEvents(ticket, watch, response)
+	if err == nil && !f.headSent && response.EndsWithConnection {
+		err = errNoEvent
+	}
 	if err == nil {
 		watch.stop()
 		f.runs++
@@ -362,6 +365,10 @@
 	}
 }
 
+// errNoEvent means that a stream whose end is the end of its connection had no event. A
+// target that ends before it begins the stream closes the connection too.
+var errNoEvent = errors.New("stream ended with its connection before the first event")
+
 var errMissingEvent = errors.New("event missing from stream")
 
 func (f *forwarder) startStream(response *upstream.Response) {
--- a/internal/passthrough/broken_test.go
+++ b/internal/passthrough/broken_test.go
@@ -112,6 +112,8 @@
 		Entry("stream of chunks that ends within an event", catalog.Stream, false, sse+"Transfer-Encoding: chunked\r\n\r\n"+chunk(event(1)+"id: 2\ndata")+"0\r\n\r\n"),
 		Entry("stream with neither, within an event", catalog.Stream, false, sse+"\r\n"+event(1)+"id: 2\ndata: x\n"),
 		Entry("stream with neither, between events, with reset", catalog.Stream, true, sse+"\r\n"+event(1)),
+		// Guards against a stream that looks complete because the target ended before it began.
+		Entry("stream with neither, before the first event", catalog.Stream, false, sse+"\r\n"),
 		// Guards against an event that looks complete because its line fills the buffer.
 		Entry("stream with neither, within an event of a long line", catalog.Stream, false, sse+"\r\nid: 1\ndata: "+strings.Repeat("x", 4096-len("data: "))+"\n"),
 		Entry("stream with a length, between events", catalog.Stream, false, sse+"Content-Length: 100\r\n\r\n"+event(1)),
@@ -130,6 +132,7 @@
 		Entry("neither, large", catalog.AtMostOnce, http.MethodPost, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 150_000), strings.Repeat("x", 150_000)),
 		Entry("HTTP/1.0", catalog.AtMostOnce, http.MethodPost, "HTTP/1.0 200 OK\r\n\r\nall", "all"),
 		Entry("HEAD", catalog.AtMostOnce, http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", ""),
+		Entry("HEAD of a stream", catalog.Stream, http.MethodHead, sse+"\r\n", ""),
 		Entry("trailer", catalog.AtMostOnce, http.MethodPost, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n"+chunk("all")+"0\r\nX: 1\r\n\r\n", "all"),
 		Entry("stream with neither", catalog.Stream, http.MethodPost, sse+"\r\n"+event(1)+event(2), event(1)+event(2)),
 		Entry("stream of chunks without events", catalog.Stream, http.MethodPost, sse+"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ""),
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -73,9 +73,13 @@
 	Header http.Header
 	// ContentLength is -1 if unknown.
 	ContentLength int64
-	body          io.ReadCloser
-	conn          *conn
-	client        *Client
+	// EndsWithConnection is set if there is a body with neither a length nor chunks, so that
+	// its end is the end of the connection.
+	EndsWithConnection bool
+
+	body   io.ReadCloser
+	conn   *conn
+	client *Client
 	// stop keeps the end of ctx from closing the connection. It returns false if
 	// ctx has already ended.
 	stop     func() bool
@@ -170,7 +174,7 @@
 			continue
 		}
 		if !r.MatchesCall(received.Header) {
-			if skipped++; skipped > maxSkippedResponses || received.ContentLength < 0 && len(received.TransferEncoding) == 0 {
+			if skipped++; skipped > maxSkippedResponses || endsWithConnection(received) {
 				return merry.Wrap(ErrOutcomeUnknown, merry.AppendMessage("response to another call"))
 			}
 			if _, err := io.Copy(io.Discard, received.Body); err != nil {
@@ -181,12 +185,18 @@
 		}
 		response.Status, response.Header, response.body = received.StatusCode, received.Header, received.Body
 		response.ContentLength = received.ContentLength
+		response.EndsWithConnection = endsWithConnection(received)
 		cn.updateReuse(received)
 		cn.bounded.left = noLimit
 		return nil
 	}
 }
 
+// endsWithConnection reports whether a response has a body with neither a length nor chunks.
+func endsWithConnection(r *http.Response) bool {
+	return r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // Limit makes reads of the body fail once the target has sent more than about n further
 // bytes, framing included.
 func (r *Response) Limit(n int64) { r.conn.bounded.left = n }
