Upstream: no connection carries two calls with the same ID

Callers saw: nothing yet; shown by a spec. A caller that repeats a call under its ID could get a second copy of the first answer, which a target sent late on a connection that was in use again. Two callers with the same ID could get one another's answers.

Cause: a copy of an earlier answer is told from the one that is due by its ID alone.

Change: a connection remembers the IDs of its last eight calls and carries no further call with one of them.

Measured: in the spec the second call got the first answer before.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -108,7 +108,7 @@
 		idle = maxIdleRepeatable
 	}
 	return f.Upstream.Do(ctx, &upstream.Request{
-		TargetID: pick.Target.ID, Address: pick.Target.Address,
+		CallID: f.call.ID, TargetID: pick.Target.ID, Address: pick.Target.Address,
 		Method: f.call.Method, URI: f.call.URI, Host: f.call.Host,
 		Header: f.Dialect.AttemptHeader(f.call, f.attemptInfo(pick, f.deadline.Sub(f.sentAt))),
 		Body:   f.call.Body, HasBody: f.call.HasBody, MaxIdle: idle, Deadline: f.deadline,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -57,7 +57,7 @@
 			return c.dial(ctx, key, r.Address)
 		}
 		idle := c.now().Sub(cn.idleSince)
-		if idle <= min(cn.idleTimeout, r.MaxIdle) && isReusable(cn.Conn) {
+		if idle <= min(cn.idleTimeout, r.MaxIdle) && !cn.hasCarried(r.CallID) && isReusable(cn.Conn) {
 			c.metrics.reused.Inc()
 			return cn, nil
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -50,6 +51,10 @@
 
 // Request is one call to a target.
 type Request struct {
+	// CallID identifies the call, as MatchesCall sees it. A call is not sent on a connection
+	// that has carried one with the same ID lately, as a second copy of its response could
+	// not be told from the one that is due.
+	CallID   string
 	TargetID string
 	Address  string
 	Method   string
@@ -115,6 +120,7 @@
 		c.pools.put(cn, c.now())
 		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
 	}
+	cn.carry(r.CallID)
 	response := &Response{conn: cn, client: c, stop: stop, writeResult: make(chan error, 1)}
 	if err := c.exchange(r, head, response); err != nil {
 		stop()
@@ -278,6 +284,20 @@
 	mustClose bool
 	// hasMismatch is set once a response to another call was received.
 	hasMismatch bool
+	// callIDs holds the IDs of the latest calls, carried is the number of all calls.
+	callIDs [8]string
+	carried int
+}
+
+// carry records a call that is about to be sent.
+func (c *conn) carry(callID string) {
+	c.callIDs[c.carried%len(c.callIDs)] = callID
+	c.carried++
+}
+
+// hasCarried reports whether a call with this ID was sent lately.
+func (c *conn) hasCarried(callID string) bool {
+	return callID != "" && slices.Contains(c.callIDs[:], callID)
 }
 
 func (c *conn) abort() { c.Conn.Close() }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -76,7 +76,7 @@
 
 	request := func(t *rawTarget, id string) *upstream.Request {
 		return &upstream.Request{
-			TargetID: "t1", Address: t.address(), Method: http.MethodPost, URI: "/a/b?c=d", Host: "h.example",
+			CallID: id, TargetID: "t1", Address: t.address(), Method: http.MethodPost, URI: "/a/b?c=d", Host: "h.example",
 			Header: http.Header{"X-Call": {id}}, Body: []byte("question"), HasBody: true,
 			MaxIdle: time.Second, Deadline: time.Now().Add(2 * time.Second),
 			MatchesCall: func(h http.Header) bool { return h.Get("X-Call") == id },
@@ -129,6 +129,38 @@
 		Expect(t.accepted.Load()).To(Equal(int32(2)))
 	})
 
+	// Guards against the answer of an earlier call that a later one with the same ID gets:
+	// nothing in it tells a second copy from the answer that is due.
+	It("does not send a call on a connection that has carried a call with the same ID", func() {
+		var answered atomic.Int32
+		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) {
+			copies := ""
+			for {
+				q, _ := t.next(r)
+				if q == nil {
+					return
+				}
+				text := responseText(q.Header.Get("X-Call"), fmt.Sprint("answer ", answered.Add(1)))
+				// The copies arrive where the next response is due.
+				fmt.Fprint(c, copies, text)
+				copies = text
+			}
+		})
+		Expect(call(t, "c1")).To(Equal("answer 1"))
+		Expect(call(t, "c1")).To(Equal("answer 2"))
+		Expect(call(t, "c2")).To(Equal("answer 3"))
+		Expect(call(t, "c1")).To(Equal("answer 4"))
+	})
+
+	It("skips a late response to another call with informational responses around it", func() {
+		const early = "HTTP/1.1 103 Early Hints\r\nX-Call: c2\r\n\r\n"
+		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) {
+			q, _ := t.next(r)
+			fmt.Fprint(c, early, responseText("c1", "not yours"), early, responseText(q.Header.Get("X-Call"), "yours"))
+		})
+		Expect(call(t, "c2")).To(Equal("yours"))
+	})
+
 	It("closes a connection on which bytes follow a complete response", func() {
 		t := newRawTarget(func(t *rawTarget, c net.Conn, r *bufio.Reader) {
 			for {
