A caller that does not read its answer does not hold its call

Callers saw: nothing; found by reading and shown by specs. A call whose caller read nothing and kept its connection open never ended. It held the memory of its answer, and a planned stop waited for it until the end of the grace period.

Cause: writes to callers had no deadline. The deadline of a call ends its attempts at targets, while the call was blocked in a write.

Change: writes end 1 s after the deadline of the call. A write that fails is not held against the target.

Measured: the specs of a large answer and of a stream were not over 3 s after their start, with a deadline of 0.5 s; they are now.

--- a/internal/passthrough/broken_test.go
+++ b/internal/passthrough/broken_test.go
@@ -139,4 +139,34 @@
 		Entry("stream with a long line", catalog.Stream, http.MethodPost, sse+"\r\nid: 1\ndata: "+strings.Repeat("x", 4096-len("data: "))+"id: 9\n\n"+event(2),
 			"id: 1\ndata: "+strings.Repeat("x", 4096-len("data: "))+"id: 9\n\n"+event(2)),
 	)
+
+	// Guards against calls that never end: a caller that reads nothing held its call, and the
+	// memory of the answer, for as long as its connection was open.
+	DescribeTable("ends the call of a caller that does not read its answer soon after its deadline",
+		func(kind catalog.Kind, text string) {
+			route.Kind, route.Timeout = kind, 500*time.Millisecond
+			answer = func(*http.Request) string { return text }
+			c, err := net.Dial("tcp", front.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			_, err = io.WriteString(c, "GET /a/x HTTP/1.1\r\nHost: h.example\r\nId: c1\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(server.Running).Should(Equal(int64(1)))
+			Eventually(server.Running, 3*time.Second).Should(BeZero())
+		},
+		Entry("large", catalog.AtMostOnce, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 32<<20)),
+		Entry("stream", catalog.Stream, sse+"\r\n"+strings.Repeat(": "+strings.Repeat("x", 1000)+"\n\n", 32<<10)),
+	)
+
+	It("does not keep the write deadline of one call for the next on the same connection", func() {
+		route.Timeout = 300 * time.Millisecond
+		answer = func(*http.Request) string { return "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nall" }
+		for range 2 {
+			status, body, err := send(http.MethodPost)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(body).To(Equal("all"))
+			time.Sleep(1500 * time.Millisecond)
+		}
+	})
 })
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -22,6 +23,9 @@
 const (
 	// answerMargin is reserved for the transmission of the final answer.
 	answerMargin = 15 * time.Millisecond
+	// writeMargin is the time after the deadline in which the caller has to read the rest
+	// of its answer.
+	writeMargin = time.Second
 	// maxSends bounds the sends of one call that reached a target, including those
 	// that the target did not run.
 	maxSends = 4
@@ -99,6 +103,8 @@
 	}
 	ctx, cancel := context.WithDeadline(f.r.Context(), f.deadline)
 	defer cancel()
+	// net/http clears it after the call.
+	_ = http.NewResponseController(f.w).SetWriteDeadline(f.deadline.Add(writeMargin))
 	f.excluded = make(map[string]bool)
 	f.work = dispatch.NewWork(f.call)
 	f.Retries.RecordCall(f.service, f.Now())
@@ -314,6 +320,13 @@
 		return dispatch.Abandoned
 	case errors.Is(err, upstream.ErrNotSent):
 		return dispatch.Unreachable
+	case errors.Is(err, upstream.ErrOutcomeUnknown):
+		return dispatch.Failed
+	}
+	// Of the other errors, only those of the caller's connection are of a write.
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "write" {
+		return dispatch.Abandoned
 	}
 	return dispatch.Failed
 }
