--- a/internal/passthrough/broken_test.go
+++ b/internal/passthrough/broken_test.go
@@ -43,8 +43,9 @@
 					if err == nil {
 						calls.Add(1)
 						_, _ = io.Copy(io.Discard, q.Body)
-						head, rest, _ := strings.Cut(answer(q), "\r\n")
-						_, _ = fmt.Fprintf(c, "%s\r\nId: %s\r\nSeal: %s\r\n%s", head, q.Header.Get("Id"), id, rest)
+						if head, rest, ok := strings.Cut(answer(q), "\r\n"); ok {
+							_, _ = fmt.Fprintf(c, "%s\r\nId: %s\r\nSeal: %s\r\n%s", head, q.Header.Get("Id"), id, rest)
+						}
 					}
 					if reset {
 						// The bytes have to arrive before the reset.
@@ -169,4 +170,35 @@
 			time.Sleep(1500 * time.Millisecond)
 		}
 	})
+
+	const rejected = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	first := func(text, then string) func(*http.Request) string {
+		return func(*http.Request) string {
+			if calls.Load() == 1 {
+				return text
+			}
+			return then
+		}
+	}
+
+	// Guard against a caller that is told that its call has not run although it has, and
+	// against a call that must not run twice and does.
+	DescribeTable("answers a call whose answer was lost without a promise that it has not run",
+		func(kind catalog.Kind, attempts int, withReset bool, text, then string, status, sent int) {
+			route.Kind, route.MaxAttempts, reset = kind, attempts, withReset
+			answer = first(text, then)
+			got, _, err := send(http.MethodPost)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got).To(Equal(status))
+			Expect(calls.Load()).To(Equal(int32(sent)))
+		},
+		Entry("closed", catalog.AtMostOnce, 2, false, "", "", http.StatusBadGateway, 1),
+		Entry("reset", catalog.AtMostOnce, 2, true, "", "", http.StatusBadGateway, 1),
+		Entry("status of a promise", catalog.AtMostOnce, 2, false, "HTTP/1.1 429 Too Many\r\nContent-Length: 0\r\n\r\n", "", http.StatusBadGateway, 1),
+		Entry("stream, closed", catalog.Stream, 2, false, "", "", http.StatusBadGateway, 1),
+		Entry("rejected, then lost", catalog.AtMostOnce, 2, false, rejected, "", http.StatusBadGateway, 2),
+		Entry("lost, then rejected", catalog.Idempotent, 2, false, "", rejected, http.StatusBadGateway, 2),
+		Entry("lost twice", catalog.Idempotent, 2, true, "", "", http.StatusBadGateway, 2),
+		Entry("rejected by all", catalog.AtMostOnce, 2, false, rejected, rejected, http.StatusServiceUnavailable, 2),
+	)
 })
