A hangup during a planned stop does not end the gateway

Callers saw: nothing yet; found by reading and shown by a spec with a real process. If the settings file changed while an instance was stopping, the signal for it ended the process at once, and all running calls were cut without an answer.

Cause: the handler of SIGHUP was removed once the stop began, which restored the default action of the signal: it ends the process.

Change: the signal is caught from the start of the process to its end.

A second SIGTERM and a SIGINT did no harm before either.

--- a/cmd/dotterellinkd/gateway.go
+++ b/cmd/dotterellinkd/gateway.go
@@ -17,6 +17,9 @@
 
 // runGateway runs an instance that serves the announced targets of a platform.
 func runGateway(o options) error {
+	// Not stopped before the process ends: a hangup would end it while calls are running.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	s, err := gateway.LoadSettings(o.Settings)
 	if err != nil || o.Check {
 		return err
@@ -29,7 +32,7 @@
 		return err
 	}
 	defer lines.Close()
-	go reloadOnSignal(ctx, o.Settings, logger)
+	go reloadOnSignal(ctx, hangups, o.Settings, logger)
 	eras := objects.NewEras()
 	g, err := gateway.New(s, gateway.Dependencies{
 		Objects: platform.NewStore(s.Store, eras, registry), Eras: eras, Source: platform.Source(), Dialect: platform.Dialect{},
@@ -43,10 +46,7 @@
 
 // reloadOnSignal reads the settings again at SIGHUP and takes over the level of
 // the log. A file that cannot be used changes nothing.
-func reloadOnSignal(ctx context.Context, path string, logger *log.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func reloadOnSignal(ctx context.Context, hangups <-chan os.Signal, path string, logger *log.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
