--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -217,8 +217,9 @@
 	defer stop()
 	callers := &http.Server{
 		Handler: g.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true, ConnState: g.connections.ConnState,
+		DisableGeneralOptionsHandler: true,
 	}
+	g.connections.Track(callers)
 	group, groupCtx := errgroup.WithContext(background)
 	group.Go(func() error { return serveHTTP(callers, g.connections.Listener(g.callerListener)) })
 	group.Go(func() error { return serveHTTP(g.readyServer(), g.readyListener) })
@@ -275,7 +276,11 @@
 	g.connections.CloseIdle(false)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	g.leases.Release(ctx)
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		g.leases.Release(ctx)
+	}()
 	pause.For(ctx, min(drainAcceptTime, time.Until(deadline)/2))
 	g.server.Close()
 	g.log.WithField("running", g.server.Running()).Info("gateway: Refusing further calls.")
@@ -288,6 +293,7 @@
 		}
 	}
 	callers.Close()
+	<-released
 }
 
 func (g *Gateway) metricsServer() *http.Server {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -50,6 +51,10 @@
 
 // Request is one call to a target.
 type Request struct {
+	// CallID identifies the call, as MatchesCall sees it. A call is not sent on a connection
+	// that has carried one with the same ID lately, as a second copy of its response could
+	// not be told from the one that is due.
+	CallID   string
 	TargetID string
 	Address  string
 	Method   string
@@ -73,9 +78,13 @@
 	Header http.Header
 	// ContentLength is -1 if unknown.
 	ContentLength int64
-	body          io.ReadCloser
-	conn          *conn
-	client        *Client
+	// EndsWithConnection is set if there is a body with neither a length nor chunks, so that
+	// its end is the end of the connection.
+	EndsWithConnection bool
+
+	body   io.ReadCloser
+	conn   *conn
+	client *Client
 	// stop keeps the end of ctx from closing the connection. It returns false if
 	// ctx has already ended.
 	stop     func() bool
@@ -111,6 +120,7 @@
 		c.pools.put(cn, c.now())
 		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
 	}
+	cn.carry(r.CallID)
 	response := &Response{conn: cn, client: c, stop: stop, writeResult: make(chan error, 1)}
 	if err := c.exchange(r, head, response); err != nil {
 		stop()
@@ -170,7 +180,7 @@
 			continue
 		}
 		if !r.MatchesCall(received.Header) {
-			if skipped++; skipped > maxSkippedResponses || received.ContentLength < 0 && len(received.TransferEncoding) == 0 {
+			if skipped++; skipped > maxSkippedResponses || endsWithConnection(received) {
 				return merry.Wrap(ErrOutcomeUnknown, merry.AppendMessage("response to another call"))
 			}
 			if _, err := io.Copy(io.Discard, received.Body); err != nil {
@@ -181,12 +191,18 @@
 		}
 		response.Status, response.Header, response.body = received.StatusCode, received.Header, received.Body
 		response.ContentLength = received.ContentLength
+		response.EndsWithConnection = endsWithConnection(received)
 		cn.updateReuse(received)
 		cn.bounded.left = noLimit
 		return nil
 	}
 }
 
+// endsWithConnection reports whether a response has a body with neither a length nor chunks.
+func endsWithConnection(r *http.Response) bool {
+	return r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // Limit makes reads of the body fail once the target has sent more than about n further
 // bytes, framing included.
 func (r *Response) Limit(n int64) { r.conn.bounded.left = n }
@@ -268,6 +284,20 @@
 	mustClose bool
 	// hasMismatch is set once a response to another call was received.
 	hasMismatch bool
+	// callIDs holds the IDs of the latest calls, carried is the number of all calls.
+	callIDs [8]string
+	carried int
+}
+
+// carry records a call that is about to be sent.
+func (c *conn) carry(callID string) {
+	c.callIDs[c.carried%len(c.callIDs)] = callID
+	c.carried++
+}
+
+// hasCarried reports whether a call with this ID was sent lately.
+func (c *conn) hasCarried(callID string) bool {
+	return callID != "" && slices.Contains(c.callIDs[:], callID)
 }
 
 func (c *conn) abort() { c.Conn.Close() }
