Prompt parts that crash targets are quarantined at all instances

Cause: a crash looked like any broken attempt. Nothing related it to what the call carried, at this instance or at its peers, so the next call with the part was sent to the next target.

Change: internal/quarantine holds crashes of target runs against the shared parts of the call. A crash is an attempt that the target ended before or right after its first event, with an address that refuses connections then. Calls with the part are refused before they take from the quota, and no further attempt is made.

--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -172,8 +172,10 @@
 	cost     time.Duration
 	onEngine bool
 	answered bool
-	done     bool
-	tokens   int
+	// answeredAt is when the first event or answer arrived.
+	answeredAt time.Time
+	done       bool
+	tokens     int
 }
 
 // Begin records that a call is sent to the picked target.
@@ -226,7 +228,7 @@
 	if t.answered || t.done {
 		return
 	}
-	t.answered = true
+	t.answered, t.answeredAt = true, now
 	s := d.state(t.targetID)
 	s.own.Waiting = max(0, s.own.Waiting-t.cost)
 	d.changed[t.targetID] = true
@@ -237,6 +239,13 @@
 	}
 }
 
+// FirstAnswerAt returns when FirstAnswer was first used, or the zero time.
+func (t *Ticket) FirstAnswerAt() time.Time {
+	t.dispatcher.mu.Lock()
+	defer t.dispatcher.mu.Unlock()
+	return t.answeredAt
+}
+
 // Result says how a call at a target ended.
 type Result int
 
--- a/internal/gateway/crashing_prompt_test.go
+++ b/internal/gateway/crashing_prompt_test.go
@@ -181,12 +181,12 @@
 		Expect(err).NotTo(HaveOccurred())
 	}
 	// send makes one call whose prompt consists of the parts and one of its own, and
-	// returns the status, 0 unless the answer is complete.
-	send := func(i *instance, parts ...string) int {
+	// returns the status and the body, 0 unless the answer is complete.
+	send := func(i *instance, parts ...string) (int, string) {
 		n := calls.Add(1)
 		r, err := http.NewRequest(http.MethodGet, "http://"+i.settings.Listen.Callers+"/a/x", nil)
 		if err != nil {
-			return 0
+			return 0, ""
 		}
 		r.Host = "h.example"
 		r.Header.Set("Authorization", "Token k1")
@@ -195,16 +195,25 @@
 		r.Header.Set("X-Dotterellink-Prompt-Prefix", strings.Join(append(parts, fmt.Sprintf("%x:5", 1<<32+n)), ","))
 		answer, err := http.DefaultClient.Do(r)
 		if err != nil {
-			return 0
+			return 0, ""
 		}
 		defer answer.Body.Close()
-		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
-			return 0
+		body, err := io.ReadAll(answer.Body)
+		if err != nil {
+			return 0, ""
 		}
-		return answer.StatusCode
+		return answer.StatusCode, string(body)
+	}
+	sendSound := func(i *instance) int {
+		status, _ := send(i, "a1:10")
+		return status
 	}
-	sendSound := func(i *instance) int { return send(i, "a1:10") }
-	sendCrashing := func(i *instance) int { return send(i, "a1:10", crashingPart+":10") }
+	// sendCrashing returns the status and the reason of a refusal.
+	sendCrashing := func(i *instance) string {
+		status, body := send(i, "a1:10", crashingPart+":10")
+		return fmt.Sprint(status, " ", strings.TrimSpace(body))
+	}
+	const refused = "503 quarantined_prompt"
 	// every calls do at an interval, concurrently, until the returned function is used.
 	every := func(interval time.Duration, do func(n int)) (stop func()) {
 		var running sync.WaitGroup
@@ -271,9 +280,26 @@
 		time.Sleep(3 * time.Second)
 		stopCrashing()
 		stopSound()
+		AddReportEntry("crashes", record.count())
+		AddReportEntry("sound calls served", fmt.Sprint(served.Load(), " of ", sent.Load()))
 		Expect(record.count()).To(BeNumerically(">=", 3), "targets crashed")
 		Expect(record.arrivedAfter(5, 3*time.Second)).To(BeNumerically("<=", 3), "calls with the part that arrived late, of %d", len(record.arrivals))
 		Expect(sent.Load()).To(BeNumerically(">=", 100))
 		Expect(float64(served.Load())/float64(sent.Load())).To(BeNumerically(">=", 0.5), "share of sound calls served")
 	})
+
+	It("are refused at an instance that starts after the crashes, also if the others hear nothing more", func() {
+		first := start("i1", "z1")
+		Eventually(func() int { return sendSound(first) }, 3*time.Second).Should(Equal(http.StatusOK))
+		stopCrashing := every(150*time.Millisecond, func(int) { sendCrashing(first) })
+		Eventually(func() string { return sendCrashing(first) }, 5*time.Second).Should(Equal(refused))
+		stopCrashing()
+		second := start("i2", "z2")
+		Eventually(func() int { return sendSound(second) }, 5*time.Second).Should(Equal(http.StatusOK))
+		before := record.count()
+		for range 5 {
+			Expect(sendCrashing(second)).To(Equal(refused))
+		}
+		Expect(record.count()).To(Equal(before))
+	})
 })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/dotterellink/dotterellink/internal/pause"
 	"github.com/dotterellink/dotterellink/internal/peers"
 	"github.com/dotterellink/dotterellink/internal/platform"
+	"github.com/dotterellink/dotterellink/internal/quarantine"
 	"github.com/dotterellink/dotterellink/internal/residency"
 	"github.com/dotterellink/dotterellink/internal/telemetry"
 	"github.com/dotterellink/dotterellink/internal/upstream"
@@ -91,6 +92,7 @@
 	client     *upstream.Client
 	quota      *allowance.Quota
 	cold       *allowance.ColdLimiter
+	quarantine *quarantine.Tracker
 	store      *storeState
 	node       *mesh.Node
 	exchange   *peers.Exchange
@@ -131,6 +133,7 @@
 	g.quota.Suspend()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.client, g.notices = upstream.NewClient(registry), newNoticeMetrics(registry)
+	g.quarantine = quarantine.NewTracker(logger, registry)
 	g.store = newStoreState(d.Source, g.catalog, g.fleet, g.dispatcher, d.Eras, logger)
 	g.wireMesh()
 	g.store.wire(followerConfig{objects: d.Objects, watching: g.watching, leading: g.leading, relay: g.relay})
@@ -148,11 +151,15 @@
 	g.registry.MustRegister(g.node.Collectors()...)
 	g.exchange = peers.NewExchange(g.node, g.settings.Listen.advertisedMesh(), uuid.NewString(), g.log)
 	g.exchange.FillStatus, g.exchange.OnStatus, g.exchange.OnRunEnded = g.fillStatus, g.onStatus, g.onRunEnded
-	g.exchange.HasUpdates = func() bool { return g.dispatcher.Pending() || g.controller.Pending() }
+	g.quarantine.OnChange = g.exchange.TriggerBroadcast
+	g.exchange.HasUpdates = func() bool {
+		return g.dispatcher.Pending() || g.controller.Pending() || g.quarantine.Pending()
+	}
 	mesh.Handle(g.node, methodSnapshot, func(ctx context.Context, from mesh.Peer, r *snapshotRequest) (*snapshot, error) {
 		out, err := g.store.handleSnapshot(ctx, from, r)
 		if err == nil {
 			out.Levels = g.quota.Levels(time.Now())
+			out.Suspicions = g.quarantine.All(time.Now())
 		}
 		return out, err
 	})
@@ -181,8 +188,8 @@
 	g.server = passthrough.NewServer(passthrough.Dependencies{
 		Zone: g.settings.Zone, Dialect: g.deps.Dialect, Catalog: g.catalog, Fleet: g.fleet, Dispatcher: g.dispatcher,
 		Upstream: g.client, Quota: g.quota,
-		Retries:   allowance.NewRetryBudget(allowance.RetryBounds{Window: seconds(b.RetryWindowSeconds), Ratio: b.RetryRatio, Slack: b.RetrySlack}),
-		Cold:      g.cold,
+		Retries: allowance.NewRetryBudget(allowance.RetryBounds{Window: seconds(b.RetryWindowSeconds), Ratio: b.RetryRatio, Slack: b.RetrySlack}),
+		Cold:    g.cold, Quarantine: g.quarantine,
 		Residency: placement{g}, Members: members{g.exchange, g}, TargetsConfirmed: g.store.confirmed.Load, OnNotice: g.onNotice,
 		Log: g.log, Tracer: g.deps.Tracing.Tracer,
 		Metrics: g.registry, Now: time.Now,
@@ -307,6 +314,7 @@
 		g.dispatcher.Forget(listed, now)
 		g.view.Prune(listed)
 		g.cold.Prune(listed, now)
+		g.quarantine.Prune(now)
 		g.shareQuota(now)
 		g.trackAccounts(now)
 		g.catchUp(now)
--- a/internal/gateway/introduce.go
+++ b/internal/gateway/introduce.go
@@ -128,4 +128,5 @@
 	g.store.applySnapshot(s, now)
 	g.trackAccounts(now)
 	g.quota.Adopt(s.Levels, now)
+	g.quarantine.Merge(s.Suspicions, now)
 }
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/dotterellink/dotterellink/internal/follow"
 	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/platform"
+	"github.com/dotterellink/dotterellink/internal/quarantine"
 )
 
 // methodSnapshot requests the snapshot of a peer.
@@ -29,6 +30,8 @@
 	Departed []fleet.Departed `msgpack:"d,omitempty"`
 	// MayBeCold are the targets that may have become cold without announcing it.
 	MayBeCold []dispatch.ColdSuspicion `msgpack:"c,omitempty"`
+	// Suspicions are the prompt parts under which targets crashed.
+	Suspicions []quarantine.Suspicion `msgpack:"p,omitempty"`
 }
 
 // maxFreshSnapshotAge is the age up to which the snapshot of a peer counts as fresh. It
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -26,6 +26,7 @@
 	if full || g.dispatcher.HasNewSuspicions() {
 		s.MayBeCold = g.dispatcher.ColdSuspicions(time.Now())
 	}
+	s.Suspicions = g.quarantine.TakeUpdates(full, time.Now())
 	s.Loads, s.PrefixUpdates = g.dispatcher.TakeUpdates(full, time.Now())
 	g.recordAdapterUse(s.PrefixUpdates)
 	s.AllCounts = g.fullCountsDue()
@@ -45,6 +46,7 @@
 		s.Held, s.Ended = nil, nil
 	}
 	g.fleet.AddDepartures(s.Departing, now)
+	g.quarantine.Merge(s.Suspicions, now)
 	g.dispatcher.AddColdSuspicions(s.MayBeCold, now)
 	g.dispatcher.ApplyPeerUpdate(from.Name, s.Loads, s.PrefixUpdates, now)
 	g.quota.ApplyPeerSpending(s.Run, s.Spent, s.AllCounts, now)
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -32,6 +32,9 @@
 
 // attempt makes one attempt and reports whether another must follow.
 func (f *forwarder) attempt(ctx context.Context) bool {
+	if f.refuseQuarantined() {
+		return false
+	}
 	pick, ok := f.nextPick(ctx)
 	if !ok {
 		return false
@@ -78,7 +81,7 @@
 func (f *forwarder) begin(pick dispatch.Pick) *dispatch.Ticket {
 	now := f.Now()
 	f.sends++
-	f.sentAt, f.expectedFirst = now, pick.Expected
+	f.target, f.sentAt, f.expectedFirst = pick.Target, now, pick.Expected
 	f.excluded[pick.Target.ID] = true
 	f.logSend(pick, now)
 	return f.Dispatcher.Begin(pick, f.work, now)
@@ -184,7 +187,9 @@
 		f.reserved = standby
 		return true
 	}
-	if !f.route.Repeatable() || f.runs >= f.route.MaxAttempts {
+	again := f.route.Repeatable() && f.runs < f.route.MaxAttempts
+	f.reportCrash(ticket, err, again)
+	if !again {
 		f.giveUp("target_failed", 0)
 		return false
 	}
@@ -266,6 +271,7 @@
 		result = dispatch.Failed
 	}
 	ticket.End(result, now)
+	f.recordAnswered(ticket, response)
 	f.deliver(a)
 	return false
 }
@@ -311,6 +317,10 @@
 func (f *forwarder) relayStream(ctx context.Context, ticket *dispatch.Ticket, watch *stallWatch, response *upstream.Response) bool {
 	err := f.copyEvents(ticket, watch, response)
 	if err == nil {
+		err = f.streamEnd(ticket, response)
+	}
+	if err == nil {
+		f.recordAnswered(ticket, response)
 		watch.stop()
 		f.runs++
 		ticket.End(dispatch.Served, f.Now())
--- /dev/null
+++ b/internal/passthrough/crash.go
@@ -0,0 +1,75 @@
+package passthrough
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/dotterellink/dotterellink/internal/dispatch"
+	"github.com/dotterellink/dotterellink/internal/quarantine"
+	"github.com/dotterellink/dotterellink/internal/upstream"
+)
+
+// crashWindow is the time from the first event of a stream within which the end of the
+// target is attributed to the call.
+const crashWindow = 250 * time.Millisecond
+
+// refuseQuarantined ends the call if a part of its prompt is quarantined.
+func (f *forwarder) refuseQuarantined() bool {
+	left, quarantined := f.Quarantine.Check(f.call.Prefix, f.Now())
+	if quarantined {
+		f.Quarantine.Refused()
+		f.giveUp("quarantined_prompt", left)
+	}
+	return quarantined
+}
+
+// mayBlame reports whether the end of the target would be attributed to the call: the call
+// has parts that other calls share, and its answer has just begun or not yet.
+func (f *forwarder) mayBlame(ticket *dispatch.Ticket) bool {
+	first := ticket.FirstAnswerAt()
+	return len(f.call.Prefix) > 1 && (first.IsZero() || f.Now().Sub(first) < crashWindow)
+}
+
+// reportCrash attributes the end of the target to the call if the target has ended. With
+// wait unset it returns at once, because the answer to the caller does not depend on it.
+func (f *forwarder) reportCrash(ticket *dispatch.Ticket, err error, wait bool) {
+	if !upstream.EndedByPeer(err) || !f.mayBlame(ticket) {
+		return
+	}
+	prefix, run, address, now := f.call.Prefix, f.run(), f.target.Address, f.Now()
+	report := func() {
+		if f.crashes.Ended(run, address, now) {
+			f.Quarantine.Crashed(prefix, run, now)
+		}
+	}
+	if wait {
+		report()
+		return
+	}
+	go report()
+}
+
+// run returns the run of the target of the latest attempt.
+func (f *forwarder) run() quarantine.Run {
+	return quarantine.Run{TargetID: f.target.ID, BornMS: f.target.BornMS}
+}
+
+// streamEnd returns the error of a stream that seems complete. A stream without an event
+// whose end is that of its connection may be one of a target that crashed.
+func (f *forwarder) streamEnd(ticket *dispatch.Ticket, response *upstream.Response) error {
+	if response.EndsWithConnection && ticket.FirstAnswerAt().IsZero() && f.mayBlame(ticket) &&
+		f.crashes.Ended(f.run(), f.target.Address, f.Now()) {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// recordAnswered records a complete answer, which shows that no part of the prompt crashes
+// targets. The end of a connection alone shows that only later in a stream.
+func (f *forwarder) recordAnswered(ticket *dispatch.Ticket, response *upstream.Response) {
+	if response.Status >= http.StatusMultipleChoices || ticket.FirstAnswerAt().IsZero() || response.EndsWithConnection && f.mayBlame(ticket) {
+		return
+	}
+	f.Quarantine.Answered(f.call.Prefix, f.Now())
+}
--- a/internal/passthrough/events.go
+++ b/internal/passthrough/events.go
@@ -44,7 +44,7 @@
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(ev.raw) > 0:
-			return event{}, merry.Wrap(errTruncatedEvent)
+			return event{}, merry.Wrap(errTruncatedEvent, merry.WithCause(io.ErrUnexpectedEOF))
 		case err != nil:
 			return event{}, err
 		}
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -16,6 +16,7 @@
 	"github.com/dotterellink/dotterellink/internal/call"
 	"github.com/dotterellink/dotterellink/internal/catalog"
 	"github.com/dotterellink/dotterellink/internal/dispatch"
+	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/upstream"
 )
 
@@ -69,6 +70,8 @@
 	headSent    bool
 	// cut is set if the connection of the caller is closed within the answer.
 	cut bool
+	// target is the target of the latest attempt.
+	target *fleet.Target
 	// sentAt is when the latest attempt was sent. expectedFirst is its expected time
 	// to the first answer, Pick.Expected.
 	sentAt        time.Time
@@ -113,7 +116,7 @@
 		f.refuse(f.w, f.call, http.StatusServiceUnavailable, "no_state", noStateRetryAfter)
 		return false
 	}
-	if !f.authorize() {
+	if !f.authorize() || f.refuseQuarantined() {
 		return false
 	}
 	timeout := f.call.Timeout
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -20,6 +20,7 @@
 	"github.com/dotterellink/dotterellink/internal/catalog"
 	"github.com/dotterellink/dotterellink/internal/dispatch"
 	"github.com/dotterellink/dotterellink/internal/fleet"
+	"github.com/dotterellink/dotterellink/internal/quarantine"
 	"github.com/dotterellink/dotterellink/internal/upstream"
 )
 
@@ -84,6 +85,7 @@
 	Quota      *allowance.Quota
 	Retries    *allowance.RetryBudget
 	Cold       *allowance.ColdLimiter
+	Quarantine *quarantine.Tracker
 	Residency  Residency
 	Members    Members
 	// TargetsConfirmed reports whether the list of targets was confirmed since the start of
@@ -100,6 +102,8 @@
 // Server forwards the calls of callers to targets. It implements http.Handler.
 type Server struct {
 	Dependencies
+	// crashes confirms that targets have ended.
+	crashes   *quarantine.Confirmer
 	metrics   *metrics
 	startedAt time.Time
 	// keepAliveDisabled is set once the instance is stopping. Each answer then closes
@@ -114,7 +118,10 @@
 
 // NewServer returns a server.
 func NewServer(d Dependencies) *Server {
-	return &Server{Dependencies: d, metrics: newMetrics(d.Metrics), startedAt: d.Now()}
+	return &Server{
+		Dependencies: d, crashes: quarantine.NewConfirmer(d.Upstream.RefusesConnections),
+		metrics: newMetrics(d.Metrics), startedAt: d.Now(),
+	}
 }
 
 // DisableKeepAlive makes the server close each connection after its next answer.
--- a/internal/passthrough/standins_test.go
+++ b/internal/passthrough/standins_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/dotterellink/dotterellink/internal/dispatch"
 	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/passthrough"
+	"github.com/dotterellink/dotterellink/internal/quarantine"
 	"github.com/dotterellink/dotterellink/internal/telemetry"
 	"github.com/dotterellink/dotterellink/internal/upstream"
 )
@@ -32,8 +34,13 @@
 	}
 	ms, _ := strconv.Atoi(r.Header.Get("Patience"))
 	tokens, _ := strconv.Atoi(r.Header.Get("Tokens"))
+	var prefix []call.PrefixPart
+	for _, part := range strings.FieldsFunc(r.Header.Get("Prefix"), func(c rune) bool { return c == ',' }) {
+		id, _ := strconv.ParseUint(part, 10, 64)
+		prefix = append(prefix, call.PrefixPart{ID: id, Tokens: 10})
+	}
 	return &call.Call{
-		ID: r.Header.Get("Id"), Method: r.Method, URI: r.RequestURI, Host: r.Host, Path: r.URL.Path, Key: r.Header.Get("Key"),
+		Prefix: prefix, ID: r.Header.Get("Id"), Method: r.Method, URI: r.RequestURI, Host: r.Host, Path: r.URL.Path, Key: r.Header.Get("Key"),
 		Arrived: arrived, Timeout: time.Duration(ms) * time.Millisecond, Header: http.Header{}, HasBody: r.ContentLength != 0,
 		Model: r.Header.Get("Model"), HasTokenCounts: tokens > 0, PromptTokens: tokens, LastEventID: r.Header.Get("Last"),
 	}, nil
@@ -152,11 +159,15 @@
 // newServer returns a server that forwards calls to the targets of a table.
 func newServer(holder *catalog.Holder, table *fleet.Table, residency passthrough.Residency) *passthrough.Server {
 	registry, dispatcher := prometheus.NewRegistry(), dispatch.NewDispatcher()
+	return newServerWith(holder, table, residency, dispatcher, registry, quarantine.NewTracker(telemetry.Discard(), registry))
+}
+
+func newServerWith(holder *catalog.Holder, table *fleet.Table, residency passthrough.Residency, dispatcher *dispatch.Dispatcher, registry *prometheus.Registry, tracker *quarantine.Tracker) *passthrough.Server {
 	return passthrough.NewServer(passthrough.Dependencies{
 		Zone: "z", Dialect: testDialect{}, Catalog: holder, Fleet: table, Dispatcher: dispatcher, Upstream: upstream.NewClient(registry),
 		Quota:   allowance.NewQuota(allowance.QuotaBounds{}, time.Now().Add(-time.Hour)),
 		Retries: allowance.NewRetryBudget(allowance.RetryBounds{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}),
-		Cold:    allowance.NewColdLimiter(allowance.ColdBounds{Overshoot: 1, Slack: 2}), Residency: residency, Members: singleInstance{},
+		Cold:    allowance.NewColdLimiter(allowance.ColdBounds{Overshoot: 1, Slack: 2}), Quarantine: tracker, Residency: residency, Members: singleInstance{},
 		TargetsConfirmed: func() bool { return true },
 		OnNotice: func(t *fleet.Target, n call.Notice) {
 			if n.Leaving {
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -6,6 +6,7 @@
 	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/lease"
 	"github.com/dotterellink/dotterellink/internal/platform"
+	"github.com/dotterellink/dotterellink/internal/quarantine"
 )
 
 // Status is the message that an instance sends to its peers.
@@ -40,6 +41,8 @@
 	Held       []HeldLease  `msgpack:"hl,omitempty"`
 	Ended      []EndedLease `msgpack:"el,omitempty"`
 	Placements []Placement  `msgpack:"pl,omitempty"`
+	// Suspicions are the prompt parts under which targets crashed.
+	Suspicions []quarantine.Suspicion `msgpack:"qr,omitempty"`
 }
 
 // ModelDemand is the work for a model that an instance has received since its start.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -85,6 +87,28 @@
 	return cn, nil
 }
 
+// refusalTimeout limits the check whether an address refuses connections.
+const refusalTimeout = 100 * time.Millisecond
+
+// RefusesConnections reports whether no process accepts connections at an address. It
+// returns false if the address does not respond.
+func (c *Client) RefusesConnections(address string) bool {
+	raw, err := net.DialTimeout("tcp", address, refusalTimeout)
+	if err != nil {
+		c.metrics.dialFailed.Inc()
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.metrics.dialed.Inc()
+	raw.Close()
+	return false
+}
+
+// EndedByPeer reports whether an error means that the other side ended the connection, and
+// not a timeout or an abort on this side.
+func EndedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // readBufferBytes is large enough for the head of a response and some events of a
 // streamed body.
 const readBufferBytes = 4 << 10
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -73,9 +73,11 @@
 	Header http.Header
 	// ContentLength is -1 if unknown.
 	ContentLength int64
-	body          io.ReadCloser
-	conn          *conn
-	client        *Client
+	// EndsWithConnection is set if only the end of the connection ends the body.
+	EndsWithConnection bool
+	body               io.ReadCloser
+	conn               *conn
+	client             *Client
 	// stop keeps the end of ctx from closing the connection. It returns false if
 	// ctx has already ended.
 	stop     func() bool
@@ -181,6 +183,7 @@
 		}
 		response.Status, response.Header, response.body = received.StatusCode, received.Header, received.Body
 		response.ContentLength = received.ContentLength
+		response.EndsWithConnection = received.ContentLength < 0 && len(received.TransferEncoding) == 0
 		cn.updateReuse(received)
 		cn.bounded.left = noLimit
 		return nil
