--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"syscall"
@@ -32,6 +33,9 @@
 
 // attempt makes one attempt and reports whether another must follow.
 func (f *forwarder) attempt(ctx context.Context) bool {
+	if f.refuseQuarantined() {
+		return false
+	}
 	pick, ok := f.nextPick(ctx)
 	if !ok {
 		return false
@@ -78,7 +82,7 @@
 func (f *forwarder) begin(pick dispatch.Pick) *dispatch.Ticket {
 	now := f.Now()
 	f.sends++
-	f.sentAt, f.expectedFirst = now, pick.Expected
+	f.target, f.sentAt, f.expectedFirst = pick.Target, now, pick.Expected
 	f.excluded[pick.Target.ID] = true
 	f.logSend(pick, now)
 	return f.Dispatcher.Begin(pick, f.work, now)
@@ -184,7 +188,9 @@
 		f.reserved = standby
 		return true
 	}
-	if !f.route.Repeatable() || f.runs >= f.route.MaxAttempts {
+	again := f.route.Repeatable() && f.runs < f.route.MaxAttempts
+	f.reportCrash(ticket, err, again)
+	if !again {
 		f.giveUp("target_failed", 0)
 		return false
 	}
@@ -266,6 +272,7 @@
 		result = dispatch.Failed
 	}
 	ticket.End(result, now)
+	f.recordAnswered(ticket, response)
 	f.deliver(a)
 	return false
 }
@@ -314,6 +321,7 @@
 		err = errNoEvent
 	}
 	if err == nil {
+		f.recordAnswered(ticket, response)
 		watch.stop()
 		f.runs++
 		ticket.End(dispatch.Served, f.Now())
@@ -367,7 +375,7 @@
 
 // errNoEvent means that a stream whose end is the end of its connection had no event. A
 // target that ends before it begins the stream closes the connection too.
-var errNoEvent = errors.New("stream ended with its connection before the first event")
+var errNoEvent = fmt.Errorf("stream ended with its connection before the first event: %w", io.ErrUnexpectedEOF)
 
 var errMissingEvent = errors.New("event missing from stream")
 
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -17,6 +17,7 @@
 	"github.com/dotterellink/dotterellink/internal/call"
 	"github.com/dotterellink/dotterellink/internal/catalog"
 	"github.com/dotterellink/dotterellink/internal/dispatch"
+	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/upstream"
 )
 
@@ -73,6 +74,8 @@
 	headSent    bool
 	// cut is set if the connection of the caller is closed within the answer.
 	cut bool
+	// target is the target of the latest attempt.
+	target *fleet.Target
 	// sentAt is when the latest attempt was sent. expectedFirst is its expected time
 	// to the first answer, Pick.Expected.
 	sentAt        time.Time
@@ -119,7 +122,7 @@
 		f.refuse(f.w, f.call, http.StatusServiceUnavailable, "no_state", noStateRetryAfter)
 		return false
 	}
-	if !f.authorize() {
+	if !f.authorize() || f.refuseQuarantined() {
 		return false
 	}
 	timeout := f.call.Timeout
