A silent target is left only once another one has not refused the call

Also, the bound of a cold target was taken at each search before it was known that a retry was left. Change: the successor is sent the call while the attempt goes on. The attempt ends when the successor's head is an authentic 2xx, or 0.25 s after its connection is open, as targets refuse at once and two of them must not work on a call for 0.4 s; if it refuses, fails, or an event of the first target comes, the attempt goes on. A large answer whose attempt was ended for a successor goes to that one. Targets that lately accepted no connection or lie in an unreachable zone take over nothing; retry, then cold bound.

--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -81,6 +81,8 @@
 	Score time.Duration
 	// CacheCapacityTokens is the target's memory for cached prompt prefixes.
 	CacheCapacityTokens int
+	// Down is set if the target lately accepted no connection from this instance.
+	Down bool
 	// Load is the target's load at the time of the decision.
 	Load Load
 	// CachedTokens is the estimated number of prompt tokens in the target's cache.
@@ -131,7 +133,7 @@
 		p.addQueueWait(q)
 	}
 	p.Score += p.Expected + time.Duration(s.failureRate.current(q.Now, 0, failureHalfLife)*float64(failureCost))
-	if q.Now.Before(s.downUntil) {
+	if p.Down = q.Now.Before(s.downUntil); p.Down {
 		p.Score += downPenalty
 	} else {
 		p.Score += peerDownPenalty * time.Duration(min(s.peersDown(q.Now), maxPeersDown))
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -36,56 +36,60 @@
 	if f.refuseQuarantined() {
 		return false
 	}
-	pick, ok := f.nextPick(ctx)
+	t, ok := f.nextTry(ctx)
 	if !ok {
 		return false
 	}
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	ticket := f.begin(pick)
-	watch := f.watchStall(cancel)
-	defer watch.stop()
-	response, err := f.send(attemptCtx, pick)
-	if err != nil {
-		return f.sendFailed(ctx, ticket, watch, err)
+	defer t.cancel()
+	watch := f.watchStall(ctx, t.cancel)
+	defer f.endWatch(watch, false)
+	if t == f.successor {
+		f.successor = nil
+		<-t.done
+	} else {
+		f.send(t)
+	}
+	if t.err != nil {
+		return f.sendFailed(ctx, t.ticket, watch, t.err)
 	}
+	return f.relay(ctx, t, watch)
+}
+
+// relay relays the answer to a try, and reports whether another attempt must follow.
+func (f *forwarder) relay(ctx context.Context, t *try, watch *stallWatch) bool {
+	response := t.response
 	defer response.Close()
 	outcome := f.Dialect.Outcome(response.Status, response.Header)
-	f.OnNotice(pick.Target, outcome.Notice)
+	f.OnNotice(t.pick.Target, outcome.Notice)
 	switch {
 	case outcome.NotRun:
-		watch.stop()
-		return f.attemptRejected(ticket, response, outcome)
+		return f.attemptRejected(t.ticket, watch, response, outcome)
 	case response.Status < http.StatusMultipleChoices && !outcome.Authentic:
-		return f.attemptBroken(ctx, ticket, watch, errNotAuthentic)
+		return f.attemptBroken(ctx, t.ticket, watch, errNotAuthentic)
 	case promisesNotRun(response.Status):
-		return f.attemptBroken(ctx, ticket, watch, errFalsePromise)
+		return f.attemptBroken(ctx, t.ticket, watch, errFalsePromise)
 	}
 	response.Limit(maxAnswer)
 	if f.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices {
-		return f.relayStream(ctx, ticket, watch, response)
+		return f.relayStream(ctx, t.ticket, watch, response)
 	}
-	return f.relayAnswer(ctx, ticket, watch, response)
+	return f.relayAnswer(ctx, t.ticket, watch, response)
 }
 
-// nextPick returns the target that was reserved for the call during the last attempt, or
-// picks one.
-func (f *forwarder) nextPick(ctx context.Context) (dispatch.Pick, bool) {
-	if reserved := f.reserved; reserved != nil {
-		f.reserved = nil
-		return *reserved, true
-	}
-	return f.pick(ctx)
-}
-
-// begin records that the next attempt goes to the picked target.
-func (f *forwarder) begin(pick dispatch.Pick) *dispatch.Ticket {
-	now := f.Now()
+// nextTry returns the successor of the last attempt, or picks a target for a new try.
+func (f *forwarder) nextTry(ctx context.Context) (*try, bool) {
+	t := f.successor
+	if t == nil {
+		pick, ok := f.pick(ctx)
+		if !ok {
+			return nil, false
+		}
+		t = f.newTry(ctx, pick, f.sends+1, f.lastEventID)
+	}
 	f.sends++
-	f.target, f.sentAt, f.expectedFirst = pick.Target, now, pick.Expected
-	f.excluded[pick.Target.ID] = true
-	f.logSend(pick, now)
-	return f.Dispatcher.Begin(pick, f.work, now)
+	f.target, f.sentAt, f.expectedFirst = t.pick.Target, t.sentAt, t.pick.Expected
+	f.excluded[t.pick.Target.ID] = true
+	return t, true
 }
 
 // promisesNotRun reports whether a status tells a caller that its call has not run and
@@ -98,59 +102,31 @@
 // has not run, without saying so itself. Such an answer is not relayed.
 var errFalsePromise = errors.New("status promises that the call has not run, the answer does not")
 
+// errMoved means that an attempt was ended because another target has accepted the call.
+var errMoved = errors.New("another target has accepted the call")
+
 var errNotAuthentic = errors.New("answer lacks the target's authentication")
 
 // mayRetry reports whether the route allows another run after the next one.
 func (f *forwarder) mayRetry() bool { return f.route.Repeatable() && f.runs+1 < f.route.MaxAttempts }
 
-// send sends the call to the picked target.
-func (f *forwarder) send(ctx context.Context, pick dispatch.Pick) (*upstream.Response, error) {
-	ctx, span := f.Tracer.Start(ctx, "attempt")
-	defer span.End()
-	idle := maxIdleNonRepeatable
-	if f.route.Repeatable() {
-		idle = maxIdleRepeatable
-	}
-	return f.Upstream.Do(ctx, &upstream.Request{
-		CallID: f.call.ID, TargetID: pick.Target.ID, Address: pick.Target.Address,
-		Method: f.call.Method, URI: f.call.URI, Host: f.call.Host,
-		Header: f.Dialect.AttemptHeader(f.call, f.attemptInfo(pick, f.deadline.Sub(f.sentAt))),
-		Body:   f.call.Body, HasBody: f.call.HasBody, MaxIdle: idle, Deadline: f.deadline,
-		MatchesCall: func(h http.Header) bool { return f.Dialect.Outcome(http.StatusOK, h).ID == f.call.ID },
-	})
-}
-
-func (f *forwarder) attemptInfo(pick dispatch.Pick, remaining time.Duration) call.Attempt {
-	a := call.Attempt{TargetID: pick.Target.ID, Remaining: remaining, Urgency: f.route.Priority, LastEventID: f.lastEventID}
-	if f.account != nil {
-		a.Account = f.account.Name
-		if f.account.Priority != nil {
-			a.Urgency = *f.account.Priority
-		}
-	}
-	return a
-}
-
-func (f *forwarder) logSend(pick dispatch.Pick, now time.Time) {
-	f.Log.WithFields(log.Fields{
-		"call": f.call.ID, "route": f.route.Name, "target": pick.Target.ID, "zone": pick.Target.Zone,
-		"expected_ms": pick.Expected.Milliseconds(), "running": pick.Load.Running,
-		"waiting_ms": pick.Load.Waiting.Milliseconds(), "kept_tokens": pick.CachedTokens,
-		"model": f.call.Model, "adapter": f.call.Adapter, "version": f.state.Version,
-		"send": f.sends, "after_ms": now.Sub(f.call.Arrived).Milliseconds(),
-	}).Info("passthrough: Call sent.")
-}
-
 // sendFailed handles a send that got no answer and reports whether another attempt
 // must follow.
 func (f *forwarder) sendFailed(ctx context.Context, ticket *dispatch.Ticket, watch *stallWatch, err error) bool {
 	if errors.Is(err, upstream.ErrNotSent) && f.r.Context().Err() == nil {
-		watch.stop()
+		if f.successor = f.endWatch(watch, true); watch.committed && f.successor != nil {
+			// The connection was not opened because the attempt was ended.
+			ticket.End(dispatch.Abandoned, f.Now())
+			return true
+		}
 		f.connectFailures++
 		ticket.End(dispatch.Unreachable, f.Now())
 		f.suspectRestart(ticket.TargetID(), err)
 		f.metrics.attempts.WithLabelValues("unreachable").Inc()
 		f.logAttempt("unreachable", err)
+		if f.successor != nil {
+			return true
+		}
 		return f.retryOrGiveUp(ctx, "unreachable", false)
 	}
 	return f.attemptBroken(ctx, ticket, watch, err)
@@ -170,12 +146,14 @@
 // attemptBroken handles an attempt that may have run but has no complete answer, and
 // reports whether another attempt must follow.
 func (f *forwarder) attemptBroken(ctx context.Context, ticket *dispatch.Ticket, watch *stallWatch, err error) bool {
-	standby := watch.stop()
 	f.runs++
 	result := f.classify(err)
 	ticket.End(result, f.Now())
+	if t := f.endWatch(watch, result != dispatch.Abandoned && ctx.Err() == nil); t != nil {
+		f.successor = t
+	}
 	name := "broken"
-	if standby != nil {
+	if watch.committed {
 		name = "stalled"
 	}
 	f.metrics.attempts.WithLabelValues(name).Inc()
@@ -184,12 +162,11 @@
 		f.finish("caller_left", err)
 		panic(http.ErrAbortHandler)
 	}
-	if standby != nil && ctx.Err() == nil {
-		f.reserved = standby
+	again := f.route.Repeatable() && f.runs < f.route.MaxAttempts
+	f.reportCrash(f.target, ticket, err, again && f.successor == nil)
+	if f.successor != nil {
 		return true
 	}
-	again := f.route.Repeatable() && f.runs < f.route.MaxAttempts
-	f.reportCrash(ticket, err, again)
 	if !again {
 		f.giveUp("target_failed", 0)
 		return false
@@ -199,7 +176,7 @@
 
 // attemptRejected handles a target's statement that the call did not run, and reports
 // whether another attempt must follow.
-func (f *forwarder) attemptRejected(ticket *dispatch.Ticket, response *upstream.Response, outcome call.Outcome) bool {
+func (f *forwarder) attemptRejected(ticket *dispatch.Ticket, watch *stallWatch, response *upstream.Response, outcome call.Outcome) bool {
 	result := dispatch.Rejected
 	if outcome.WrongTarget {
 		result = dispatch.NotHeld
@@ -208,6 +185,9 @@
 	ticket.End(result, f.Now())
 	f.metrics.attempts.WithLabelValues("rejected").Inc()
 	f.logAttempt("rejected", nil)
+	if f.successor = f.endWatch(watch, true); f.successor != nil {
+		return true
+	}
 	return f.retryOrGiveUp(f.r.Context(), "targets_full", true)
 }
 
@@ -252,16 +232,22 @@
 	if err != nil {
 		return f.attemptBroken(ctx, ticket, watch, err)
 	}
-	watch.stop()
+	large := len(body) == maxBufferedAnswer
+	f.successor = f.endWatch(watch, large || response.Status >= http.StatusInternalServerError)
+	if large && watch.committed {
+		// The rest of the answer cannot be read.
+		return f.attemptBroken(ctx, ticket, watch, errMoved)
+	}
 	f.runs++
 	now := f.Now()
 	ticket.FirstAnswer(now)
 	f.recordFirstAnswer(now)
 	a := &answer{status: response.Status, header: response.Header, body: body}
-	if len(body) == maxBufferedAnswer {
+	if large {
+		f.dropSuccessor()
 		return f.relayLargeAnswer(ticket, response, a)
 	}
-	if a.status >= http.StatusInternalServerError && f.retryTargetError() {
+	if a.status >= http.StatusInternalServerError && (f.successor != nil || f.retryTargetError()) {
 		ticket.End(dispatch.Served, now)
 		f.targetError = a
 		f.logAttempt("target_error", nil)
@@ -322,7 +308,7 @@
 	}
 	if err == nil {
 		f.recordAnswered(ticket, response)
-		watch.stop()
+		f.endWatch(watch, false)
 		f.runs++
 		ticket.End(dispatch.Served, f.Now())
 		if !f.headSent {
@@ -363,6 +349,7 @@
 		f.lastEventAfter.Store(int64(now.Sub(f.call.Arrived)))
 		if e.id != "" {
 			f.lastEventID = e.id
+			watch.relayed(e.id)
 		}
 		if _, err := f.w.Write(e.raw); err != nil {
 			return err
--- a/internal/passthrough/crash.go
+++ b/internal/passthrough/crash.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterellink/dotterellink/internal/dispatch"
+	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/quarantine"
 	"github.com/dotterellink/dotterellink/internal/upstream"
 )
@@ -32,11 +33,12 @@
 
 // reportCrash attributes the end of the target to the call if the target has ended. With
 // wait unset it returns at once, because the answer to the caller does not depend on it.
-func (f *forwarder) reportCrash(ticket *dispatch.Ticket, err error, wait bool) {
+func (f *forwarder) reportCrash(target *fleet.Target, ticket *dispatch.Ticket, err error, wait bool) {
 	if !upstream.EndedByPeer(err) || !f.mayBlame(ticket) {
 		return
 	}
-	prefix, run, address, now := f.call.Prefix, f.run(), f.target.Address, f.Now()
+	prefix, address, now := f.call.Prefix, target.Address, f.Now()
+	run := quarantine.Run{TargetID: target.ID, BornMS: target.BornMS}
 	report := func() {
 		if f.crashes.Ended(run, address, now) {
 			f.Quarantine.Crashed(prefix, run, now)
@@ -49,11 +51,6 @@
 	go report()
 }
 
-// run returns the run of the target of the latest attempt.
-func (f *forwarder) run() quarantine.Run {
-	return quarantine.Run{TargetID: f.target.ID, BornMS: f.target.BornMS}
-}
-
 // recordAnswered records a complete answer, which shows that no part of the prompt crashes
 // targets. The end of a connection alone shows that only later in a stream.
 func (f *forwarder) recordAnswered(ticket *dispatch.Ticket, response *upstream.Response) {
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -80,8 +80,8 @@
 	// to the first answer, Pick.Expected.
 	sentAt        time.Time
 	expectedFirst time.Duration
-	// reserved is the target of the next attempt if a stalled one was aborted for it.
-	reserved *dispatch.Pick
+	// successor is the try that follows the last attempt and was sent during it, or nil.
+	successor *try
 	// lastEventAfter is the time.Duration from the arrival of the call to its last relayed
 	// event, 0 before the first.
 	lastEventAfter atomic.Int64
@@ -111,10 +111,21 @@
 	f.excluded = make(map[string]bool)
 	f.work = dispatch.NewWork(f.call)
 	f.Retries.RecordCall(f.service, f.Now())
+	defer f.dropSuccessor()
 	for f.attempt(ctx) {
 	}
 }
 
+// dropSuccessor gives up the successor, which may have run the call.
+func (f *forwarder) dropSuccessor() {
+	if f.successor == nil {
+		return
+	}
+	f.successor.discard(f.Now())
+	f.successor = nil
+	f.runs++
+}
+
 // admit checks route, key, body and quota, and refuses the call if a check fails.
 func (f *forwarder) admit() bool {
 	f.state = f.Catalog.Current()
--- a/internal/passthrough/silence_test.go
+++ b/internal/passthrough/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"github.com/dotterellink/dotterellink/internal/catalog"
 	"github.com/dotterellink/dotterellink/internal/fleet"
@@ -105,6 +107,16 @@
 		Expect(strings.Count(body, "id: ")).To(Equal(4))
 	})
 
+	// Guards against a stream that was cut for a target whose machine did not answer: the
+	// attempt was ended before the connection to that target was open.
+	It("keeps a stream open through the silence if the other target accepts no connection", func() {
+		start("t0", silentAfter(2, 4))
+		table.Upsert(fleet.Announcement{ID: "t1", Service: "s", Zone: "other", Slots: 6, Address: unanswered()}, time.Now())
+		_, body, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Count(body, "id: ")).To(Equal(4))
+	})
+
 	// Guards against a stream that was cut when it was moved, because the time that its
 	// caller had waited was counted from the arrival instead of the last event.
 	It("continues a long stream at another target", func() {
@@ -142,3 +154,22 @@
 		Expect(body).To(Equal("late"))
 	})
 })
+
+// unanswered returns an address at which attempts to connect get no answer: its backlog is
+// full.
+func unanswered() string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = unix.Close(fd) })
+	Expect(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})).To(Succeed())
+	Expect(unix.Listen(fd, 0)).To(Succeed())
+	bound, err := unix.Getsockname(fd)
+	Expect(err).NotTo(HaveOccurred())
+	address := fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+	for range 3 {
+		if c, err := net.DialTimeout("tcp", address, 200*time.Millisecond); err == nil {
+			DeferCleanup(c.Close)
+		}
+	}
+	return address
+}
--- a/internal/passthrough/stall.go
+++ b/internal/passthrough/stall.go
@@ -1,12 +1,18 @@
 package passthrough
 
 import (
+	"context"
+	"errors"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/dotterellink/dotterellink/internal/catalog"
 	"github.com/dotterellink/dotterellink/internal/dispatch"
+	"github.com/dotterellink/dotterellink/internal/upstream"
 )
 
 const (
@@ -22,12 +28,18 @@
 	idempotentShare = 0.55
 	// stallRecheck is the time between two searches for a target that can take over.
 	stallRecheck = 100 * time.Millisecond
+	// refusalTimeout is the time within which a target refuses a call that it cannot take,
+	// from the time at which it is connected. It bounds the time for which two targets may
+	// work on the call.
+	refusalTimeout = 250 * time.Millisecond
 )
 
-// stallWatch aborts an attempt that yields nothing for too long, but only once another
-// target is reserved for the call. A sound target may be silent for a while, so that
-// without another one waiting is the best choice.
+// stallWatch moves a call whose attempt yields nothing for too long. It sends the call to
+// another target and ends the attempt once that one has not refused it: a sound target may
+// be silent for a while, so that without another one waiting is the best choice.
 type stallWatch struct {
+	ctx       context.Context
+	abort     func()
 	startedAt time.Time
 	// timeout is the time without a further event after which the attempt counts as
 	// stalled.
@@ -39,13 +51,24 @@
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
-	// standby is the target that takes over, nil while there is none.
-	standby *dispatch.Pick
+	// lastEventID is the ID of the last relayed event.
+	lastEventID string
+	// successor is the send to the target that is to take over, nil while there is none.
+	// committed is set once the attempt was ended for it.
+	successor *try
+	committed bool
+	// tried holds the IDs of the targets of former successors. runs counts those that may
+	// have run the call.
+	tried map[string]bool
+	runs  int
 }
 
 // watchStall starts to watch the attempt that is about to be sent. abort ends it.
-func (f *forwarder) watchStall(abort func()) *stallWatch {
-	w := &stallWatch{startedAt: f.Now(), timeout: max(minStallTimeout, time.Duration(stallShareOfWait*float64(f.callerWait())))}
+func (f *forwarder) watchStall(ctx context.Context, abort func()) *stallWatch {
+	w := &stallWatch{
+		ctx: ctx, abort: abort, startedAt: f.Now(), lastEventID: f.lastEventID, tried: make(map[string]bool),
+		timeout: max(minStallTimeout, time.Duration(stallShareOfWait*float64(f.callerWait()))),
+	}
 	share := f.stallShare()
 	if share == 0 {
 		return w
@@ -54,7 +77,7 @@
 	w.dueAfter.Store(int64(after))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(after, func() { f.checkStall(w, abort) })
+	w.timer = time.AfterFunc(after, func() { f.checkStall(w) })
 	return w
 }
 
@@ -72,58 +95,185 @@
 	return 0
 }
 
-// checkStall reserves a target for a stalled attempt and aborts it, or looks again later.
-func (f *forwarder) checkStall(w *stallWatch, abort func()) {
+// received records that an event of the attempt has arrived.
+func (w *stallWatch) received(now time.Time) {
+	w.dueAfter.Store(int64(now.Sub(w.startedAt) + w.timeout))
+}
+
+// relayed records the ID of an event that the caller gets.
+func (w *stallWatch) relayed(eventID string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped {
+	w.lastEventID = eventID
+}
+
+// due returns how much longer the attempt does not count as stalled.
+func (w *stallWatch) due(now time.Time) time.Duration {
+	return time.Duration(w.dueAfter.Load()) - now.Sub(w.startedAt)
+}
+
+// checkStall sends a stalled call to another target, or ends the attempt if that target
+// was sent the call before and has not refused it. It runs beside the attempt, so it reads
+// only fields of f that do not change until endWatch.
+func (f *forwarder) checkStall(w *stallWatch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped || w.committed {
 		return
 	}
 	now := f.Now()
-	if left := time.Duration(w.dueAfter.Load()) - now.Sub(w.startedAt); left > 0 {
+	if left := w.due(now); left > 0 {
+		w.dropSuccessor(now)
 		w.timer.Reset(left)
 		return
 	}
-	pick, ok := f.reserveStandby(now)
+	if w.successor != nil {
+		if left := w.successor.refusableFor(now); left > 0 {
+			w.timer.Reset(left)
+			return
+		}
+		w.commit()
+		return
+	}
+	pick, ok := f.reserveSuccessor(w, now)
 	if !ok {
 		w.timer.Reset(stallRecheck)
 		return
 	}
-	w.standby = &pick
-	abort()
+	t := f.newTry(w.ctx, pick, f.sends+len(w.tried)+1, w.lastEventID)
+	w.successor = t
+	w.timer.Reset(refusalTimeout)
+	go func() {
+		f.send(t)
+		f.checkSuccessor(w, t)
+	}()
 }
 
-// received records an event of the attempt.
-func (w *stallWatch) received(now time.Time) {
-	w.dueAfter.Store(int64(now.Sub(w.startedAt) + w.timeout))
+// checkSuccessor ends the attempt if the successor has accepted the call, and gives the
+// successor up if it has not.
+func (f *forwarder) checkSuccessor(w *stallWatch, t *try) {
+	if !f.successorFailed(w, t) {
+		return
+	}
+	if t.response != nil {
+		t.response.Discard(maxRejection, rejectionTimeout)
+		t.response.Close()
+	}
+	t.cancel()
+}
+
+// successorFailed judges a successor whose head or error has come, and reports whether it
+// has not taken the call over.
+func (f *forwarder) successorFailed(w *stallWatch, t *try) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped || w.committed || w.successor != t {
+		return false
+	}
+	now := f.Now()
+	result := f.successorResult(t)
+	switch {
+	case result == dispatch.Failed:
+		w.runs++
+		if t.err != nil {
+			f.reportCrash(t.pick.Target, t.ticket, t.err, false)
+		}
+	case result == dispatch.Served && w.due(now) > 0:
+		w.dropSuccessor(now)
+		return false
+	case result == dispatch.Served:
+		w.commit()
+		return false
+	}
+	t.ticket.End(result, now)
+	w.tried[t.pick.Target.ID], w.successor = true, nil
+	w.timer.Reset(stallRecheck)
+	f.metrics.attempts.WithLabelValues("successor").Inc()
+	f.Log.WithFields(log.Fields{"call": f.call.ID, "target": t.pick.Target.ID}).Info("passthrough: Target does not take the call over.")
+	return true
+}
+
+// successorResult returns how a send to a successor ended, Served if it accepted the call.
+func (f *forwarder) successorResult(t *try) dispatch.Result {
+	switch {
+	case errors.Is(t.err, upstream.ErrNotSent):
+		return dispatch.Unreachable
+	case t.err != nil:
+		return dispatch.Failed
+	}
+	outcome := f.Dialect.Outcome(t.response.Status, t.response.Header)
+	f.OnNotice(t.pick.Target, outcome.Notice)
+	switch {
+	case outcome.NotRun && outcome.WrongTarget:
+		return dispatch.NotHeld
+	case outcome.NotRun:
+		return dispatch.Rejected
+	case t.response.Status < http.StatusMultipleChoices && outcome.Authentic:
+		return dispatch.Served
+	}
+	return dispatch.Failed
 }
 
-// stop ends the watch and returns the target that takes over, or nil.
-func (w *stallWatch) stop() *dispatch.Pick {
+// commit requires w.mu. It ends the attempt for its successor.
+func (w *stallWatch) commit() {
+	w.committed = true
+	w.abort()
+}
+
+// dropSuccessor requires w.mu. It gives up the successor, which may have run the call.
+func (w *stallWatch) dropSuccessor(now time.Time) {
+	if w.successor == nil {
+		return
+	}
+	w.tried[w.successor.pick.Target.ID] = true
+	w.runs++
+	w.successor.discard(now)
+	w.successor = nil
+}
+
+// endWatch ends the watch of an attempt that has ended. It returns the successor if there
+// is one and take is set. Further uses have no effect.
+func (f *forwarder) endWatch(w *stallWatch, take bool) *try {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped {
+		return nil
+	}
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	return w.standby
+	t := w.successor
+	if !take {
+		w.dropSuccessor(f.Now())
+		t = nil
+	}
+	for id := range w.tried {
+		f.excluded[id] = true
+	}
+	f.sends += len(w.tried)
+	f.runs += w.runs
+	return t
 }
 
-// reserveStandby picks another target that can take the call over in time, and takes the
-// retry from the budget. It runs beside an attempt, so it reads only fields of f that do
-// not change until the attempt ends.
-func (f *forwarder) reserveStandby(now time.Time) (dispatch.Pick, bool) {
+// reserveSuccessor picks another target that can take the call over in time, and takes the
+// retry from the budget. It requires w.mu.
+func (f *forwarder) reserveSuccessor(w *stallWatch, now time.Time) (dispatch.Pick, bool) {
 	service := f.state.Services[f.service]
-	if service == nil || f.sends-f.connectFailures >= maxSends {
+	if service == nil || f.sends-f.connectFailures+len(w.tried) >= maxSends || f.runs+1+w.runs >= f.route.MaxAttempts {
+		return dispatch.Pick{}, false
+	}
+	if _, quarantined := f.Quarantine.Check(f.call.Prefix, now); quarantined {
 		return dispatch.Pick{}, false
 	}
 	candidates, _ := f.candidates(service)
-	for i := range candidates {
-		// A load takes time, and its failure would leave the call without any target.
-		candidates[i].Limited = candidates[i].Limited || candidates[i].NeedsAdapter
+	for i, c := range candidates {
+		// The load of an adapter takes time, and may fail.
+		candidates[i].Limited = c.Limited || c.NeedsAdapter || c.ZoneUnreachable || w.tried[c.Target.ID]
 	}
 	pick, ok := f.Dispatcher.Pick(candidates, f.query(service, now))
-	if !ok || pick.Expected > f.firstAnswerBudget(now) || !f.reserveColdCall(pick) || !f.spendRetry(now) {
+	// The bound of a cold target is taken last: it has no way back.
+	if !ok || pick.Down || pick.Expected > f.firstAnswerBudget(now) || !f.spendRetry(now) || !f.reserveColdCall(pick) {
 		return dispatch.Pick{}, false
 	}
 	return pick, true
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -68,6 +68,9 @@
 	MaxIdle time.Duration
 	// Deadline is the time after which the call and reads of its response body fail.
 	Deadline time.Time
+	// OnConnected, if set, is called once there is a connection for the call, before any of
+	// it is sent.
+	OnConnected func()
 	// MatchesCall reports whether a response with this header is for this call.
 	MatchesCall func(header http.Header) bool
 }
@@ -108,6 +111,9 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
 	}
+	if r.OnConnected != nil {
+		r.OnConnected()
+	}
 	stop := context.AfterFunc(ctx, cn.abort)
 	if err := cn.SetDeadline(r.Deadline); err != nil {
 		stop()
