A stalled stream is noticed soon after its last event, whatever its timeout

What callers saw: a stream whose target was gone after some events waited for up to half of its time before it was moved. Evidence: the spec "moves a stream soon after its last event, whatever its timeout" failed (the call was cut at its end) and passes.

--- a/internal/passthrough/silence_test.go
+++ b/internal/passthrough/silence_test.go
@@ -107,6 +107,27 @@
 		Expect(strings.Count(body, "id: ")).To(Equal(4))
 	})
 
+	// Guards against a stream that was left waiting at a target that is gone, because the time
+	// of its first event was still being waited for.
+	It("moves a stream soon after its last event, whatever its timeout", func() {
+		route.Timeout = 20 * time.Second
+		handler := func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last") != "" {
+				events(3, 4, true)(w, r)
+				return
+			}
+			events(1, 2, true)(w, r)
+			<-r.Context().Done()
+		}
+		start("t0", handler)
+		start("t1", handler)
+		began := time.Now()
+		_, body, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Count(body, "id: ")).To(Equal(4))
+		Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+	})
+
 	// Guards against a stream that was cut for a target whose machine did not answer: the
 	// attempt was ended before the connection to that target was open.
 	It("keeps a stream open through the silence if the other target accepts no connection", func() {
--- a/internal/passthrough/stall.go
+++ b/internal/passthrough/stall.go
@@ -77,7 +77,7 @@
 	w.dueAfter.Store(int64(after))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(after, func() { f.checkStall(w) })
+	w.timer = time.AfterFunc(min(after, w.timeout), func() { f.checkStall(w) })
 	return w
 }
 
@@ -124,7 +124,8 @@
 	now := f.Now()
 	if left := w.due(now); left > 0 {
 		w.dropSuccessor(now)
-		w.timer.Reset(left)
+		// An event may move the time forward as well as back.
+		w.timer.Reset(min(left, w.timeout))
 		return
 	}
 	if w.successor != nil {
