A stream is broken off if the target that was to continue it answers with an error

What callers saw: a stream that ended as complete after some of its events, with the body of another target's error behind them. Cause: the answer of the next target was delivered as if none of the call's answer had been relayed. Evidence: the spec failed before (complete answer) and passes now; nothing is appended and the connection is closed.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -68,6 +68,8 @@
 		return f.attemptBroken(ctx, t.ticket, watch, errNotAuthentic)
 	case promisesNotRun(response.Status):
 		return f.attemptBroken(ctx, t.ticket, watch, errFalsePromise)
+	case response.Status >= http.StatusMultipleChoices && f.headSent:
+		return f.attemptBroken(ctx, t.ticket, watch, errNotContinued)
 	}
 	response.Limit(maxAnswer)
 	if f.route.Kind == catalog.Stream && response.Status < http.StatusMultipleChoices {
@@ -102,6 +104,9 @@
 // has not run, without saying so itself. Such an answer is not relayed.
 var errFalsePromise = errors.New("status promises that the call has not run, the answer does not")
 
+// errNotContinued means that a target that was to continue a stream answered with an error.
+var errNotContinued = errors.New("stream is not continued, the target answered with an error")
+
 // errMoved means that an attempt was ended because another target has accepted the call.
 var errMoved = errors.New("another target has accepted the call")
 
--- a/internal/passthrough/standby_test.go
+++ b/internal/passthrough/standby_test.go
@@ -27,6 +27,24 @@
 		Expect(answer.StatusCode).To(Equal(http.StatusOK))
 		Expect(strings.Count(body, "id: ")).To(Equal(4))
 	})
+
+	// Guards against a stream that ended as complete after some of its events, because the
+	// target that was to continue it answered with an error.
+	It("breaks a stream off if the target that is to continue it answers with an error", func() {
+		_, body, err := sendToTwo(
+			func(w http.ResponseWriter, r *http.Request) {
+				events(1, 2, true)(w, r)
+				panic(http.ErrAbortHandler)
+			},
+			func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusInternalServerError)
+				_, _ = io.WriteString(w, "failed")
+			},
+		)
+		Expect(err).To(HaveOccurred())
+		Expect(strings.Count(body, "id: ")).To(Equal(2))
+		Expect(body).NotTo(ContainSubstring("failed"))
+	})
 })
 
 // sendToTwo sends a call of a stream that may be resumed once, before two targets, and
