Quarantined prompt parts outlive the loss of all instances

Callers: after all instances were killed at once, calls with a part that had been quarantined crashed targets again until the part was learned anew.

Cause: only the instances knew the quarantine.

Change: the instance that watches the store writes the quarantined parts to the object quarantine/parts when a quarantine begins or is lifted. It costs one write for a part and one read for a fleet that starts.

--- a/internal/gateway/crashing_prompt_test.go
+++ b/internal/gateway/crashing_prompt_test.go
@@ -288,12 +288,35 @@
 		Expect(float64(served.Load())/float64(sent.Load())).To(BeNumerically(">=", 0.5), "share of sound calls served")
 	})
 
-	It("are refused at an instance that starts after the crashes, also if the others hear nothing more", func() {
+	// startAndCrash starts an instance and sends calls until it refuses them.
+	startAndCrash := func() *instance {
 		first := start("i1", "z1")
 		Eventually(func() int { return sendSound(first) }, 3*time.Second).Should(Equal(http.StatusOK))
 		stopCrashing := every(150*time.Millisecond, func(int) { sendCrashing(first) })
 		Eventually(func() string { return sendCrashing(first) }, 5*time.Second).Should(Equal(refused))
 		stopCrashing()
+		return first
+	}
+
+	// Guards against the crashes beginning anew after the loss of all instances.
+	It("are refused after all instances were lost at once", func() {
+		first := startAndCrash()
+		Eventually(func() error { _, err := store.Get(ctx, "quarantine/parts"); return err }, time.Second).Should(Succeed())
+		first.stop()
+		Eventually(first.done, 10*time.Second).Should(Receive())
+		first.done <- nil
+		seeds = nil
+		second := start("i2", "z2")
+		Eventually(func() int { return sendSound(second) }, 5*time.Second).Should(Equal(http.StatusOK))
+		before := record.count()
+		for range 5 {
+			Expect(sendCrashing(second)).To(Equal(refused))
+		}
+		Expect(record.count()).To(Equal(before))
+	})
+
+	It("are refused at an instance that starts after the crashes, also if the others hear nothing more", func() {
+		startAndCrash()
 		second := start("i2", "z2")
 		Eventually(func() int { return sendSound(second) }, 5*time.Second).Should(Equal(http.StatusOK))
 		before := record.count()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -236,7 +236,7 @@
 	for _, loop := range []func(context.Context) error{
 		func(ctx context.Context) error { return g.node.Run(ctx, g.meshListener) },
 		g.afterBootstrap(g.store.config.Run), g.afterBootstrap(g.store.targets.Run),
-		g.afterBootstrap(g.store.evacuations.Run),
+		g.afterBootstrap(g.store.evacuations.Run), g.afterBootstrap(g.keepQuarantine),
 		g.exchange.Run, g.leases.Run, g.controller.Run, g.discoverPeers, g.housekeep,
 	} {
 		group.Go(func() error { return loop(groupCtx) })
--- a/internal/quarantine/messages.go
+++ b/internal/quarantine/messages.go
@@ -19,18 +19,18 @@
 
 // Suspicion is what an instance knows of the crashes under one part.
 type Suspicion struct {
-	Part    uint64        `msgpack:"p"`
-	Depth   int           `msgpack:"d,omitempty"`
-	Crashes []CrashReport `msgpack:"c"`
+	Part    uint64        `msgpack:"p" json:"part,string"`
+	Depth   int           `msgpack:"d,omitempty" json:"depth"`
+	Crashes []CrashReport `msgpack:"c" json:"crashes"`
 }
 
 // CrashReport is a crash in a message.
 type CrashReport struct {
-	TargetID string `msgpack:"t"`
-	BornMS   int64  `msgpack:"b,omitempty"`
+	TargetID string `msgpack:"t" json:"target"`
+	BornMS   int64  `msgpack:"b,omitempty" json:"born_ms"`
 	// AgoUS is the age of the crash when the message was made, in microseconds.
-	AgoUS   int64 `msgpack:"a"`
-	Cleared bool  `msgpack:"x,omitempty"`
+	AgoUS   int64 `msgpack:"a" json:"ago_us"`
+	Cleared bool  `msgpack:"x,omitempty" json:"cleared,omitempty"`
 }
 
 // Pending reports whether there are changes to send to the peers.
@@ -78,6 +78,28 @@
 	return out
 }
 
+// Revision returns a number that rises whenever a quarantine begins or is lifted.
+func (t *Tracker) Revision() uint64 { return t.revision.Load() }
+
+// Quarantined returns what is known of the quarantined parts, the newest quarantine first,
+// and the revision.
+func (t *Tracker) Quarantined(now time.Time) ([]Suspicion, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var held []*part
+	for _, p := range t.parts {
+		if p.level > 0 {
+			held = append(held, p)
+		}
+	}
+	slices.SortFunc(held, func(p, q *part) int { return q.until.Compare(p.until) })
+	var out []Suspicion
+	for _, p := range held {
+		out = append(out, p.suspicion(now))
+	}
+	return out, t.revision.Load()
+}
+
 // Merge applies what a peer knows.
 func (t *Tracker) Merge(list []Suspicion, now time.Time) {
 	if len(list) == 0 {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -47,6 +47,7 @@
 	// quarantined holds the end of the quarantine of each quarantined part. The map is
 	// replaced, not changed.
 	quarantined atomic.Pointer[map[uint64]time.Time]
+	revision    atomic.Uint64
 
 	mu      sync.Mutex
 	parts   map[uint64]*part
@@ -226,6 +227,9 @@
 	ends := make(map[uint64]time.Time, len(verdicts))
 	for id, p := range t.parts {
 		v := verdicts[id]
+		if v.level != p.level {
+			t.revision.Add(1)
+		}
 		if v.level > p.level {
 			t.metrics.quarantined.Inc()
 			t.log.WithFields(log.Fields{
