--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -47,6 +47,7 @@
 	// quarantined holds the end of the quarantine of each quarantined part. The map is
 	// replaced, not changed.
 	quarantined atomic.Pointer[map[uint64]time.Time]
+	revision    atomic.Uint64
 
 	mu      sync.Mutex
 	parts   map[uint64]*part
@@ -173,9 +174,10 @@
 		t.changed[id] = true
 	}
 	if added && !c.cleared {
+		// Lines at this level may be dropped if very many targets crash at once.
 		t.log.WithFields(log.Fields{
 			"part": hex(id), "target": c.run.TargetID, "born_ms": c.run.BornMS, "crashes": p.open(), "source": source,
-		}).Warn("quarantine: Target crashed under prompt part.")
+		}).Info("quarantine: Target crashed under prompt part.")
 	}
 	return changed
 }
@@ -226,6 +228,9 @@
 	ends := make(map[uint64]time.Time, len(verdicts))
 	for id, p := range t.parts {
 		v := verdicts[id]
+		if v.level != p.level {
+			t.revision.Add(1)
+		}
 		if v.level > p.level {
 			t.metrics.quarantined.Inc()
 			t.log.WithFields(log.Fields{
