A target that said that it leaves stays out, whoever saw its entry end

Callers saw: nothing yet; found by reading and shown by a spec. An instance that knew that a target leaves took over from a peer that its entry had ended, and then used the target again at its next announcement.

Cause: the later record of a run replaced the earlier one, with what the run had said itself.

Measured: the spec failed before.

--- a/internal/fleet/departed.go
+++ b/internal/fleet/departed.go
@@ -115,9 +115,14 @@
 // recordDeparture requires t.mu. Runs without a start time cannot be told apart, so that
 // nothing is recorded for them.
 func (t *Table) recordDeparture(d Departed, now time.Time) {
-	if d.BornMS == 0 || t.departed[d.ID].BornMS > d.BornMS {
+	known := t.departed[d.ID]
+	if d.BornMS == 0 || known.BornMS > d.BornMS {
 		return
 	}
+	if known.BornMS == d.BornMS {
+		d.Final = d.Final || known.Final
+		d.Announcements = max(d.Announcements, known.Announcements)
+	}
 	if len(t.departed) >= maxDeparted {
 		t.pruneDeparted(now.Add(departedRetention))
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -95,6 +95,16 @@
 			Expect(usable()).To(Equal([]string{"t1", "t2"}))
 		})
 
+		// Guards against a target that is used again although it said that it leaves: an
+		// instance that saw only the end of its entry made the others forget that.
+		It("keeps a target out that said that it leaves, if another instance knows only of the end of its entry", func() {
+			t.Remove("t1", now)
+			t.AddDepartures([]fleet.Departed{{ID: "t1", BornMS: 1, Announcements: 40, Final: true}}, now)
+			t.AddDepartures([]fleet.Departed{{ID: "t1", BornMS: 1, Announcements: 40}}, now)
+			t.Upsert(later("t1", 41), now)
+			Expect(usable()).To(Equal([]string{"t2"}))
+		})
+
 		It("forgets an entry of the copy that lapses", func() {
 			t.Upsert(later("t1", 40), now)
 			t.Remove("t1", now)
