An instance that starts asks further peers if the first one is behind

Callers saw: nothing yet; found by reading. An instance that started took the first configuration and targets that any peer had, however old, such as those of a peer that was cut off from the store and the others: a key or a target that had been withdrawn was in use again until the instance read the store itself.

Change: up to three peers are asked, until one has no overdue update.

Measured: the spec is of the order in which peers are asked; the case with processes was not reproduced.

--- a/internal/gateway/introduce.go
+++ b/internal/gateway/introduce.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/dotterellink/dotterellink/internal/follow"
 	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/pause"
 )
@@ -106,26 +107,41 @@
 func (g *Gateway) queryPeers(ctx context.Context) {
 	connected := g.node.Peers()
 	rand.Shuffle(len(connected), func(i, j int) { connected[i], connected[j] = connected[j], connected[i] })
-	for _, p := range connected[:min(maxSnapshotPeers, len(connected))] {
-		if g.catalog.Current() != nil {
-			break
+	if g.catalog.Current() == nil {
+		names := make([]string, 0, len(connected))
+		for _, p := range connected {
+			names = append(names, p.Name)
 		}
-		callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-		g.fetchSnapshot(callCtx, p.Name)
-		cancel()
+		queryUntilFresh(names, func(peer string) (time.Duration, bool) {
+			callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+			defer cancel()
+			return g.fetchSnapshot(callCtx, peer)
+		})
 	}
 	g.exchange.FetchList(ctx)
 }
 
-// fetchSnapshot fetches a snapshot from a peer and applies it.
-func (g *Gateway) fetchSnapshot(ctx context.Context, peer string) {
+// queryUntilFresh fetches snapshots from peers in turn until one is of a peer for which no
+// update is overdue. fetch returns the age of a snapshot, or false if there was none.
+func queryUntilFresh(names []string, fetch func(peer string) (age time.Duration, ok bool)) {
+	for _, name := range names[:min(maxSnapshotPeers, len(names))] {
+		if age, ok := fetch(name); ok && age <= evacuationWait+follow.OverdueAfter {
+			return
+		}
+	}
+}
+
+// fetchSnapshot fetches a snapshot from a peer and applies it. It returns the age of the
+// snapshot, or false if there was none.
+func (g *Gateway) fetchSnapshot(ctx context.Context, peer string) (age time.Duration, ok bool) {
 	s, err := mesh.Call[snapshotRequest, snapshot](ctx, g.node, peer, methodSnapshot, &snapshotRequest{})
 	if err != nil {
 		g.log.WithField("peer", peer).WithError(err).Info("gateway: Cannot fetch snapshot from peer.")
-		return
+		return 0, false
 	}
 	now := time.Now()
 	g.store.applySnapshot(s, now)
 	g.trackAccounts(now)
 	g.quota.Adopt(s.Levels, now)
+	return time.Duration(s.AgeMS) * time.Millisecond, true
 }
--- a/internal/gateway/snapshot_test.go
+++ b/internal/gateway/snapshot_test.go
@@ -88,6 +88,25 @@
 		Expect(started.fleet.View().ByService["s"]).To(BeEmpty())
 	}, Entry("the one that knows first", true), Entry("the other first", false))
 
+	// Guards against an instance that starts with the oldest state that any peer has.
+	It("is requested from further peers if the first ones are behind", func() {
+		names := []string{"a", "b", "c", "d"}
+		ages := map[string]time.Duration{"a": time.Minute, "b": -1, "c": time.Second, "d": time.Second}
+		var asked []string
+		fetch := func(name string) (time.Duration, bool) {
+			asked = append(asked, name)
+			return ages[name], ages[name] >= 0
+		}
+		queryUntilFresh(names, fetch)
+		Expect(asked).To(Equal([]string{"a", "b", "c"}))
+		asked = nil
+		queryUntilFresh([]string{"a", "a", "a", "c"}, fetch)
+		Expect(asked).To(HaveLen(maxSnapshotPeers))
+		asked = nil
+		queryUntilFresh([]string{"c", "d"}, fetch)
+		Expect(asked).To(Equal([]string{"c"}))
+	})
+
 	// Guards against a target whose models are forgotten: a peer that was behind replaced its
 	// announcement by an older one.
 	It("does not replace an announcement by an older one of the same run", func() {
