A broken answer does not look complete to a caller that speaks HTTP/1.0

Callers saw: nothing yet; shown by specs. A caller that speaks HTTP/1.0 got a large answer or a stream that broke off as a complete one.

Cause: such an answer ends with its connection, and the connection was closed like that of a complete one.

Change: the connection is reset.

Measured: both specs read to the end without an error before.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -162,6 +162,15 @@
 	return nil
 }
 
+// SetLinger sets what Close does with bytes that were not sent yet. It lets a server reset
+// the connection.
+func (c *conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // closeIfIdle reports whether the connection is closed.
 func (c *conn) closeIfIdle(unused bool) bool {
 	c.mu.Lock()
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,6 +34,14 @@
 			if r.URL.Path == "/wait" {
 				<-release
 			}
+			if r.URL.Path == "/reset" {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err == nil {
+					_ = c.(interface{ SetLinger(int) error }).SetLinger(0)
+					_ = c.Close()
+				}
+				return
+			}
 			_, _ = io.WriteString(w, "ok")
 		})}
 		tracker.Track(server)
@@ -110,6 +119,14 @@
 		Expect(err).To(MatchError(io.EOF))
 	})
 
+	It("lets a server reset a connection, and forgets it", func() {
+		c, r := dial()
+		send(c, "GET /reset HTTP/1.0\r\nHost: a\r\n\r\n")
+		_, err := r.ReadByte()
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+		Expect(tracker.CloseIdle(false)).To(BeZero())
+	})
+
 	It("forgets connections that have ended", func() {
 		c, r := dial()
 		send(c, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
--- a/internal/passthrough/broken_test.go
+++ b/internal/passthrough/broken_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -120,6 +121,24 @@
 		Entry("stream with a length, between events", catalog.Stream, false, sse+"Content-Length: 100\r\n\r\n"+event(1)),
 	)
 
+	// Guards against a broken answer that looks complete to a caller that speaks HTTP/1.0,
+	// whose answers end with their connection.
+	DescribeTable("does not end the connection of a caller that speaks HTTP/1.0 as if the answer were complete",
+		func(kind catalog.Kind, text string) {
+			route.Kind = kind
+			answer = func(*http.Request) string { return text }
+			c, err := net.Dial("tcp", front.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			_, err = io.WriteString(c, "GET /a/x HTTP/1.0\r\nHost: h.example\r\nId: c1\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(c)
+			Expect(err).To(MatchError(syscall.ECONNRESET), "%.200s", body)
+		},
+		Entry("large", catalog.AtMostOnce, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("x", 150_000)),
+		Entry("stream", catalog.Stream, sse+"\r\n"+event(1)+"id: 2\ndata: x\n"),
+	)
+
 	DescribeTable("relays a complete answer of the same form",
 		func(kind catalog.Kind, method, text, want string) {
 			route.Kind = kind
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -147,9 +147,31 @@
 	defer span.End()
 	f := &forwarder{Server: s, w: w, r: r.WithContext(ctx), call: c}
 	defer func() { s.bodies.Add(-f.bodyTaken) }()
+	defer func() {
+		if cause := recover(); cause != nil {
+			resetHTTP10(w, r)
+			panic(cause)
+		}
+	}()
 	f.serve()
 }
 
+// resetHTTP10 resets the connection of a caller that speaks HTTP/1.0. There the end of the
+// connection is the end of an answer, so that one that is broken off would look complete.
+func resetHTTP10(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // refuse answers a call that has not run and will not run.
 func (s *Server) refuse(w http.ResponseWriter, c *call.Call, status int, reason string, retryAfter time.Duration) {
 	for name, values := range s.Dialect.RefusalHeader(c, retryAfter) {
