An instance that reaches the others late asks them which targets have left

Seen: the spec 'use no target that had left before, also at an instance that starts after' failed once in a run of the whole package on a busy machine (load 8 to 12 on 8 cores): the started instance used a target that was draining, after the store had come back from a copy.

Cause: an instance that connects to no peer within 0.3 s of its start reads the store and never asks a peer for what it knows of targets that have left, which a store that came back from a copy may lack.

Change: it asks once the others are known. Until then, about a second, it may still use such a target, so that the older spec may fail again on a machine as busy.

--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -130,6 +130,25 @@
 		Expect(fresh.status("/b/x")()).To(Equal(http.StatusOK))
 	})
 
+	// Guards against an instance that uses a target that had left: it had reached no other
+	// instance within 0.3 s of its start, and never asked one later.
+	It("use no target that had left before, also at an instance that reaches the others late", func() {
+		all := []*instance{start("i1", "z1"), start("i2", "z2")}
+		served(all, "/a/x")
+		store.Copy()
+		announce("t1", "draining", 2)
+		time.Sleep(1500 * time.Millisecond)
+		store.Rewind()
+		seeds = nil
+		late := start("i3", "z2")
+		served([]*instance{late}, "/a/x")
+		time.Sleep(1500 * time.Millisecond)
+		for range 10 {
+			_, body := late.call("/a/x")
+			Expect(body).To(Equal("t2"))
+		}
+	})
+
 	It("use no target that had left before, also at an instance that starts after", func() {
 		all := []*instance{start("i1", "z1"), start("i2", "z2")}
 		served(all, "/a/x")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,6 +112,8 @@
 	// leavingChanged is set if a target said that it leaves since the last status.
 	leavingChanged atomic.Bool
 	startedAt      time.Time
+	// introduced is set once a peer with a configuration has sent its snapshot.
+	introduced atomic.Bool
 	// bootstrapped is closed when bootstrapFromPeers has ended.
 	bootstrapped chan struct{}
 
--- a/internal/gateway/introduce.go
+++ b/internal/gateway/introduce.go
@@ -25,6 +25,8 @@
 	// snapshot within some hundred milliseconds. Each call to the store is priced.
 	firstPeerTimeout = 300 * time.Millisecond
 	bootstrapTimeout = time.Second
+	// maxLateIntroductions bounds the attempts to get a snapshot after the store was read.
+	maxLateIntroductions = 10
 	// maxSnapshotPeers is the number of peers whose snapshot is requested in one
 	// attempt.
 	maxSnapshotPeers = 3
@@ -79,7 +81,7 @@
 // one, and then refreshes the list from peers.
 func (g *Gateway) discoverPeers(ctx context.Context) error {
 	g.bootstrapFromPeers(ctx)
-	registered := false
+	registered, late := false, 0
 	for {
 		g.dialSeeds()
 		if !registered && g.register(ctx) == nil {
@@ -87,7 +89,13 @@
 			g.exchange.MarkComplete()
 			g.shareQuota(time.Now())
 		}
-		if g.catalog.Current() == nil || !registered {
+		// An instance that found no peer in time has read the store, which may lack what the
+		// peers know of targets that have left.
+		isLate := !g.introduced.Load() && len(g.exchange.Names()) > 1 && late < maxLateIntroductions
+		if g.catalog.Current() == nil || !registered || isLate {
+			if registered {
+				late++
+			}
 			if !pause.For(ctx, discoveryRetryDelay) {
 				return ctx.Err()
 			}
@@ -101,13 +109,12 @@
 	}
 }
 
-// queryPeers fetches snapshots from peers while this instance has no configuration, and
-// then their list of instances. The list comes last because it replaces the connections
-// to seeds.
+// queryPeers fetches snapshots from peers until one had a configuration, and then their
+// list of instances. The list comes last because it replaces the connections to seeds.
 func (g *Gateway) queryPeers(ctx context.Context) {
 	connected := g.node.Peers()
 	rand.Shuffle(len(connected), func(i, j int) { connected[i], connected[j] = connected[j], connected[i] })
-	if g.catalog.Current() == nil {
+	if !g.introduced.Load() {
 		names := make([]string, 0, len(connected))
 		for _, p := range connected {
 			names = append(names, p.Name)
@@ -140,7 +147,9 @@
 		return 0, false
 	}
 	now := time.Now()
-	g.store.applySnapshot(s, now)
+	if g.store.applySnapshot(s, now) {
+		g.introduced.Store(true)
+	}
 	g.trackAccounts(now)
 	g.quota.Adopt(s.Levels, now)
 	return time.Duration(s.AgeMS) * time.Millisecond, true
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -113,8 +113,9 @@
 }
 
 // applySnapshot applies the snapshot of a peer where the store has not been read yet or
-// does not answer. It applies a newer configuration in any case.
-func (s *storeState) applySnapshot(snap *snapshot, now time.Time) {
+// does not answer. It applies a newer configuration in any case, and reports whether the
+// peer has one.
+func (s *storeState) applySnapshot(snap *snapshot, now time.Time) (hasConfig bool) {
 	age := time.Duration(snap.AgeMS) * time.Millisecond
 	s.fleet.AddDepartures(snap.Departed, now)
 	s.dispatcher.AddColdSuspicions(snap.MayBeCold, now)
@@ -122,8 +123,9 @@
 		u, err := follow.DecodeUpdate(body)
 		if err != nil {
 			s.log.WithError(err).Warn("gateway: Ignoring undecodable snapshot.")
-			return
+			return hasConfig
 		}
+		hasConfig = hasConfig || u.Prefix == s.source.ConfigPrefix && len(u.Objects) > 0
 		ended := s.eras.Hear(platform.Version(u.To).Era()) != nil
 		for _, f := range s.followers() {
 			if f.Prefix != u.Prefix {
@@ -137,6 +139,7 @@
 			s.applyStale(u, now)
 		}
 	}
+	return hasConfig
 }
 
 // applyStale applies objects that may have been replaced in the store since.
