A target that has left is not used again after an old update

Callers saw: nothing yet; found by reading and shown by specs. An instance that had started and knew from a peer that the entry of a target was removed used the target again after an update that was sent before the removal and arrived late, as from a watcher that had been paused.

Cause: outside the time after the store came back from a copy, any announcement of a removed target made it usable, without a look at its count.

Change: it has to be a later one than the last that was known, or the target has to stay listed for 6 s, as after a copy. A withheld announcement is dropped once a later one is used; it replaced the later one before.

Measured: both specs failed before.

--- a/internal/fleet/departed.go
+++ b/internal/fleet/departed.go
@@ -6,8 +6,8 @@
 	// EraGrace is how long after the store came back from a copy of itself an entry may be
 	// missing that operators or targets write again. Targets write every 1.2 s.
 	EraGrace = 3 * time.Second
-	// returnProbation is how long after that an entry of a target that had left is not
-	// trusted. The store removes the entry of a target that is gone after three missed
+	// returnProbation is how long after that, or after it came back otherwise, an entry of a
+	// target that had left is not trusted. The store removes the entry of a target that is gone after three missed
 	// announcements.
 	returnProbation = 6 * time.Second
 	// departedRetention bounds the memory of targets that have left, and maxDeparted their
@@ -33,7 +33,7 @@
 	at time.Time
 }
 
-// withheld is the entry of a departed target that came back with the store's copy.
+// withheld is the entry of a departed target that came back without a later announcement.
 type withheld struct {
 	Announcement
 	until time.Time
@@ -166,12 +166,26 @@
 		a.Draining = true
 		return a, true
 	}
-	if now.Before(t.eraChangedAt.Add(returnProbation)) && a.Announcements <= d.Announcements {
-		t.withheld[a.ID] = withheld{a, t.eraChangedAt.Add(returnProbation)}
-		return a, false
+	if a.Announcements > d.Announcements {
+		delete(t.departed, a.ID)
+		delete(t.withheld, a.ID)
+		return a, true
+	}
+	// The entry came back with the store's copy, or the list that has it is older than the
+	// departure. Runs that count no announcements are withheld only in the first case.
+	since := now
+	if now.Before(t.eraChangedAt.Add(returnProbation)) {
+		since = t.eraChangedAt
+	} else if d.Announcements == 0 {
+		delete(t.departed, a.ID)
+		return a, true
+	}
+	until := since.Add(returnProbation)
+	if w, ok := t.withheld[a.ID]; ok {
+		until = w.until
 	}
-	delete(t.departed, a.ID)
-	return a, true
+	t.withheld[a.ID] = withheld{a, until}
+	return a, false
 }
 
 // releaseWithheld requires t.mu. It uses the entries that the store still holds at the end
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -105,6 +105,23 @@
 			Expect(usable()).To(Equal([]string{"t2"}))
 		})
 
+		It("uses a target whose entry was removed once it announces itself again, or stays listed", func() {
+			t.Upsert(later("t1", 40), now)
+			t.Remove("t1", now)
+			t.Upsert(later("t1", 40), now)
+			Expect(usable()).To(Equal([]string{"t2"}))
+			t.Expire(now.Add(5900 * time.Millisecond))
+			Expect(usable()).To(Equal([]string{"t2"}))
+			t.Expire(now.Add(6 * time.Second))
+			Expect(usable()).To(Equal([]string{"t1", "t2"}))
+			t.Remove("t1", now)
+			t.Upsert(later("t1", 40), now)
+			t.Upsert(later("t1", 41), now)
+			Expect(usable()).To(Equal([]string{"t1", "t2"}))
+			t.Expire(now.Add(time.Minute))
+			Expect(t.View().Targets["t1"].Announcements).To(Equal(int64(41)))
+		})
+
 		It("forgets an entry of the copy that lapses", func() {
 			t.Upsert(later("t1", 40), now)
 			t.Remove("t1", now)
--- a/internal/gateway/snapshot_test.go
+++ b/internal/gateway/snapshot_test.go
@@ -88,6 +88,20 @@
 		Expect(started.fleet.View().ByService["s"]).To(BeEmpty())
 	}, Entry("the one that knows first", true), Entry("the other first", false))
 
+	// Guards against the same after an update that a watcher sent late, as after a pause.
+	It("does not use a target that has left, as a peer knows, after an old update", func() {
+		informed, started := newInstance(), newInstance()
+		entry := platform.Object{Key: "t/a", Value: []byte{7}, Version: 5}
+		informed.applyTargetChanges([]platform.Object{entry}, false, time.Now())
+		informed.applyTargetChanges([]platform.Object{{Key: "t/a", Deleted: true}}, false, time.Now())
+		pass(informed, started)
+		started.applyUpdate(follow.Update{Prefix: "t/", Full: true, To: 5, Objects: []follow.Object{follow.ObjectOf(entry)}})
+		Expect(started.fleet.View().ByService["s"]).To(BeEmpty())
+		entry.Value, entry.Version = []byte{8}, 7
+		started.applyUpdate(follow.Update{Prefix: "t/", From: 5, To: 7, Objects: []follow.Object{follow.ObjectOf(entry)}})
+		Expect(started.fleet.View().ByService["s"]).To(HaveLen(1))
+	})
+
 	// Guards against an instance that starts with the oldest state that any peer has.
 	It("is requested from further peers if the first ones are behind", func() {
 		names := []string{"a", "b", "c", "d"}
