--- a/internal/gateway/snapshot_test.go
+++ b/internal/gateway/snapshot_test.go
@@ -72,15 +72,53 @@
 	})
 
 	// Guards against the same in an instance that has started and read no store yet.
-	It("does not use a target that has left, as one peer knows, if another peer does not know", func() {
+	DescribeTable("does not use a target that has left, as one peer knows, if another peer does not know", func(informedFirst bool) {
 		behind, informed, started := newInstance(), newInstance(), newInstance()
 		entry := platform.Object{Key: "t/a", Value: []byte{7}}
 		behind.applyTargetChanges([]platform.Object{entry}, false, time.Now())
 		informed.applyTargetChanges([]platform.Object{entry}, false, time.Now())
 		informed.applyTargetChanges([]platform.Object{{Key: "t/a", Deleted: true}}, false, time.Now())
+		if informedFirst {
+			pass(informed, started)
+			pass(behind, started)
+		} else {
+			pass(behind, started)
+			pass(informed, started)
+		}
+		Expect(started.fleet.View().ByService["s"]).To(BeEmpty())
+	}, Entry("the one that knows first", true), Entry("the other first", false))
+
+	// Guards against the same after an update that a watcher sent late, as after a pause.
+	It("does not use a target that has left, as a peer knows, after an old update", func() {
+		informed, started := newInstance(), newInstance()
+		entry := platform.Object{Key: "t/a", Value: []byte{7}, Version: 5}
+		informed.applyTargetChanges([]platform.Object{entry}, false, time.Now())
+		informed.applyTargetChanges([]platform.Object{{Key: "t/a", Deleted: true}}, false, time.Now())
 		pass(informed, started)
-		pass(behind, started)
+		started.applyUpdate(follow.Update{Prefix: "t/", Full: true, To: 5, Objects: []follow.Object{follow.ObjectOf(entry)}})
 		Expect(started.fleet.View().ByService["s"]).To(BeEmpty())
+		entry.Value, entry.Version = []byte{8}, 7
+		started.applyUpdate(follow.Update{Prefix: "t/", From: 5, To: 7, Objects: []follow.Object{follow.ObjectOf(entry)}})
+		Expect(started.fleet.View().ByService["s"]).To(HaveLen(1))
+	})
+
+	// Guards against an instance that starts with the oldest state that any peer has.
+	It("is requested from further peers if the first ones are behind", func() {
+		names := []string{"a", "b", "c", "d"}
+		ages := map[string]time.Duration{"a": time.Minute, "b": -1, "c": time.Second, "d": time.Second}
+		var asked []string
+		fetch := func(name string) (time.Duration, bool) {
+			asked = append(asked, name)
+			return ages[name], ages[name] >= 0
+		}
+		queryUntilFresh(names, fetch)
+		Expect(asked).To(Equal([]string{"a", "b", "c"}))
+		asked = nil
+		queryUntilFresh([]string{"a", "a", "a", "c"}, fetch)
+		Expect(asked).To(HaveLen(maxSnapshotPeers))
+		asked = nil
+		queryUntilFresh([]string{"c", "d"}, fetch)
+		Expect(asked).To(Equal([]string{"c"}))
 	})
 
 	// Guards against a target whose models are forgotten: a peer that was behind replaced its
