Soak: targets that fall silent, odd answers, and prompt parts that crash targets

A second series of faults with random numbers of its own, so that old seeds keep their faults: silences of 0.5 to 2.2 s (some beside a new configuration, more at targets that alone hold a model), late second copies of answers on kept connections, bytes now and then without an event or an end, and answers that break off with a length, in chunks and with neither. Sound answers without framing, streams with an event each 0.3 to 1 s, rare models, and callers that wait beyond the timeout of the route. New checks: a call at a sound target ends with its answer (LOST), a planned stop cuts no request that it had read (LOST), a call is over at its timeout (CONFIG). Calls with a part that crashes targets have a spec of their own (BUDGET, LOST). Links pass resets on.

--- a/test/soak/book_test.go
+++ b/test/soak/book_test.go
@@ -43,6 +43,8 @@
 	remaining time.Duration
 	after     string
 	cold      bool
+	// only is set if no other target held the model.
+	only bool
 }
 
 // record is one call of a caller and what became of it.
@@ -62,6 +64,10 @@
 	whole  bool
 	ended  time.Time
 	events []string
+	// reused is set if the call went out on a connection that was open before.
+	reused bool
+	// crashes is set if the call has a prompt part that crashes targets.
+	crashes bool
 }
 
 func (r *record) repeatable() bool { return r.route.Repeatable() }
@@ -81,6 +87,8 @@
 	busy     map[*target][]order
 	// mostTokens is the largest number of tokens of the metered account in any window.
 	mostTokens float64
+	// crashed are the times at which a prompt part crashed a target.
+	crashed []time.Time
 }
 
 // order is an order as a target got it.
@@ -101,12 +109,14 @@
 type arrival struct {
 	instance string
 	sent, at time.Time
+	// crashes is set if the call has a prompt part that crashes targets.
+	crashes bool
 }
 
-func (b *book) arrived(t *target, instance string, sent, at time.Time) {
+func (b *book) arrived(t *target, a arrival) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.arrivals[t] = append(b.arrivals[t], arrival{instance, sent, at})
+	b.arrivals[t] = append(b.arrivals[t], a)
 }
 
 // arrivedCall notes a call that reached a target, and returns its instance.
@@ -117,7 +127,7 @@
 	if r == nil {
 		return ""
 	}
-	b.arrived(t, r.instance.name, r.sent, c.Arrived)
+	b.arrived(t, arrival{instance: r.instance.name, sent: r.sent, at: c.Arrived, crashes: r.crashes})
 	return r.instance.name
 }
 
@@ -146,6 +156,7 @@
 
 // ran notes that a target begins to work on a call.
 func (b *book) ran(t *target, c platformtest.Received, cold bool) {
+	only := t.engine != nil && t.w.onlyHolder(t, c.Model, c.Adapter)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[c.ID]
@@ -162,7 +173,7 @@
 	if c.TargetID != "" && c.TargetID != t.id {
 		b.breaks("ROUTE", "%s ran call %s meant for %s", t.id, c.ID, c.TargetID)
 	}
-	r.runs = append(r.runs, run{target: t, at: c.Arrived, remaining: c.Remaining, after: c.Attempt.LastEventID, cold: cold})
+	r.runs = append(r.runs, run{target: t, at: c.Arrived, remaining: c.Remaining, after: c.Attempt.LastEventID, cold: cold, only: only})
 }
 
 // judge looks at all that was noted, once nothing runs any more.
@@ -174,6 +185,9 @@
 		b.judgeAnswer(r)
 		b.judgeTimes(w, r)
 		b.judgeStop(w, r)
+		b.judgeLost(w, r)
+		b.judgeRead(w, r)
+		b.judgeTimeout(w, r)
 	}
 	b.judgeQuota()
 	b.judgeRetries()
@@ -182,6 +196,7 @@
 	b.judgeLoads(w)
 	b.judgeLeaving(w)
 	b.judgeBusy(w)
+	b.judgeCrashing(w)
 	return b.broken
 }
 
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 
@@ -25,17 +26,28 @@
 	// leavingShare is the share of callers that leave before their answer.
 	leavingShare = 0.03
 	leavesWithin = 200 * time.Millisecond
+	// rareShare is the share of streams with a model that gets few calls.
+	rareShare       = 0.25
+	rareShareOfLong = 0.5
+	// patientShare is the share of callers that wait for longPatience, beyond the timeouts
+	// of most routes.
+	patientShare = 0.2
+	longPatience = 5 * time.Second
+	// longTimeout is the timeout of the route with slow streams.
+	longTimeout = 10 * time.Second
 )
 
 // callOn runs one caller: it keeps its connection until the process is gone.
-func (w *world) callOn(n *instance, until context.Context) {
+func (w *world) callOn(n *instance, until context.Context) { w.callWith(n, until, w.compose) }
+
+func (w *world) callWith(n *instance, until context.Context, compose func(*instance) *record) {
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 1, DisableCompression: true,
 	}}
 	defer client.CloseIdleConnections()
 	for until.Err() == nil {
-		w.callOnce(n, client)
+		w.callOnce(compose(n), client)
 		pause.For(until, time.Duration(rand.Int64N(int64(2*thinkTime))))
 	}
 }
@@ -43,7 +55,7 @@
 // compose draws a call of any kind.
 func (w *world) compose(n *instance) *record {
 	s := state(1, "alpha")
-	r := &record{instance: n, account: plainAccount, route: &s.Routes[rand.IntN(len(s.Routes))]}
+	r := &record{instance: n, account: plainAccount, route: &s.Routes[rand.IntN(len(s.Routes)-1)]}
 	id := w.name("call")
 	r.call = call.Call{
 		ID: id, Method: http.MethodPost, URI: r.route.PathPrefix + id, Host: hostName, Key: keys[plainAccount][0],
@@ -54,17 +66,41 @@
 		// The metered account asks for more than its rate.
 		r.account, r.call.Key = meteredAccount, keys[meteredAccount][0]
 		r.call.HasTokenCounts, r.call.PromptTokens, r.call.MaxOutputTokens = true, meteredCall-10, 10
-	case chatPath, resumedPath:
+	case chatPath, resumedPath, resumedOnce:
 		w.composeStream(r)
 	}
+	if rand.Float64() < patientShare {
+		r.call.Timeout = longPatience
+	}
 	return r
 }
 
+// composeLong draws a call of the route with slow streams, which is the last.
+func (w *world) composeLong(n *instance) *record {
+	s := state(1, "alpha")
+	r := &record{instance: n, account: plainAccount, route: &s.Routes[len(s.Routes)-1]}
+	id := w.name("long")
+	r.call = call.Call{
+		ID: id, Method: http.MethodPost, URI: longPath + id, Host: hostName, Key: keys[plainAccount][0],
+		Timeout: longTimeout + patience, Body: []byte("asked by " + id),
+	}
+	w.composeStream(r)
+	if rand.Float64() < rareShareOfLong {
+		r.call.Model, r.call.Adapter = aRareModel(), ""
+	}
+	return r
+}
+
+func aRareModel() string { return modelName(modelCount + rand.IntN(rareModels)) }
+
 // composeStream draws a model, the first ones more often, and the demand moves.
 func (w *world) composeStream(r *record) {
 	turn := int(time.Since(w.started) / (6 * time.Second))
 	index := min(rand.IntN(modelCount), rand.IntN(modelCount))
 	r.call.Model = modelName((index + turn) % modelCount)
+	if rand.Float64() < rareShare {
+		r.call.Model = aRareModel()
+	}
 	if rand.IntN(3) == 0 {
 		r.call.Adapter = fmt.Sprintf("a%d", 1+rand.IntN(2))
 	}
@@ -72,11 +108,15 @@
 	r.call.Prefix = []call.PrefixPart{{ID: uint64(index + 1), Tokens: 300}, {ID: rand.Uint64(), Tokens: 100}}
 }
 
-func (w *world) callOnce(n *instance, client *http.Client) {
-	r := w.compose(n)
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+func (w *world) callOnce(r *record, client *http.Client) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.call.Timeout)
 	defer cancel()
-	request, err := platformtest.NewRequest(ctx, n.settings.Listen.Callers, r.call)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		w.book.mu.Lock()
+		defer w.book.mu.Unlock()
+		r.reused = c.Reused
+	}})
+	request, err := platformtest.NewRequest(ctx, r.instance.settings.Listen.Callers, r.call)
 	if err != nil {
 		w.breaks("SOAK", "request: %v", err)
 		return
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -45,6 +45,9 @@
 	lookRoute
 	movedRoute
 	chatRoute
+	resumedRoute
+	resumedOnceRoute
+	longRoute
 )
 
 var _ = Describe("Checks", func() {
@@ -123,7 +126,7 @@
 		w, n, t := quietWorld()
 		r := served(n, t, "call", bookRoute)
 		t.drained = r.sent.Add(-4 * time.Second)
-		w.disturbances = []disturbance{{n, r.sent.Add(-5 * time.Second), r.sent.Add(-3 * time.Second)}}
+		w.disturbances = []disturbance{{instance: n, from: r.sent.Add(-5 * time.Second), to: r.sent.Add(-3 * time.Second)}}
 		w.book.records["call"] = r
 		Expect(w.book.judge(w)).To(BeEmpty())
 	})
--- a/test/soak/engine_test.go
+++ b/test/soak/engine_test.go
@@ -97,7 +97,7 @@
 	b.mu.Lock()
 	b.orders[t] = append(b.orders[t], order{time.Now(), o.Holder})
 	b.mu.Unlock()
-	b.arrived(t, o.Holder, time.Time{}, time.Now())
+	b.arrived(t, arrival{instance: o.Holder, at: time.Now()})
 	odd, _, _, _ := t.state()
 	if odd.ordersLate {
 		go func() {
@@ -107,6 +107,7 @@
 		pause.For(r.Context(), heldAnswer)
 		panic(http.ErrAbortHandler)
 	}
+	t.speak(r.Context())
 	w.WriteHeader(t.carryOut(o, targetID))
 }
 
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -109,13 +109,19 @@
 	{"target link", func(w *world, d time.Duration) (string, func()) {
 		t := w.aTarget()
 		w.disturb(nil, d)
+		sound := t.beginUnsound()
 		t.link.set(w.aLinkState())
-		return t.id, func() { t.link.set(linkState{}) }
+		return t.id, func() {
+			t.link.set(linkState{})
+			sound()
+		}
 	}},
 	{"target resets connections", func(w *world, _ time.Duration) (string, func()) {
 		t := w.aTarget()
 		w.disturb(nil, contact)
+		sound := t.beginUnsound()
 		t.link.resetAll()
+		sound()
 		return t.id, func() {}
 	}},
 	{"target slow", targetFault(behaviour{slow: true})},
@@ -154,7 +160,7 @@
 	{"target begins anew", func(w *world, _ time.Duration) (string, func()) {
 		t := w.aTarget()
 		w.disturb(nil, contact)
-		go t.beginAnew()
+		go t.beginAnew(restartAfter)
 		return t.id, func() {}
 	}},
 	{"zone evacuated", func(w *world, _ time.Duration) (string, func()) {
@@ -226,13 +232,18 @@
 
 // aTarget draws a target that serves.
 func (w *world) aTarget() *target {
+	serving := w.servingTargets()
+	return serving[w.pick(len(serving))]
+}
+
+func (w *world) servingTargets() []*target {
 	var serving []*target
 	for _, t := range w.allTargets() {
 		if _, _, draining, ended := t.state(); !draining && !ended {
 			serving = append(serving, t)
 		}
 	}
-	return serving[w.pick(len(serving))]
+	return serving
 }
 
 // replace starts a target in the place of another; an engine begins empty.
--- a/test/soak/instance_test.go
+++ b/test/soak/instance_test.go
@@ -39,6 +39,8 @@
 	done    chan struct{}
 	// told is set while the process may end: a signal to do so was sent.
 	told bool
+	// killed is set once the process was sent SIGKILL.
+	killed bool
 	// stops are the times of SIGTERM, thaws those at which it was heard again.
 	stops, thaws []time.Time
 	// interruptions are the times at which the process ended or was paused.
@@ -89,7 +91,7 @@
 		n.w.breaks("SOAK", "start of %s: %v", n.name, err)
 		return
 	}
-	n.command, n.done, n.told = command, make(chan struct{}), false
+	n.command, n.done, n.told, n.killed = command, make(chan struct{}), false, false
 	go n.watch(command, n.done, log)
 }
 
@@ -97,7 +99,7 @@
 	err := command.Wait()
 	_ = log.Close()
 	n.mu.Lock()
-	told := n.told
+	told, killed := n.told, n.killed
 	n.command = nil
 	n.interruptions = append(n.interruptions, time.Now())
 	n.mu.Unlock()
@@ -105,7 +107,7 @@
 	if !told {
 		n.w.breaks("OWN END", "%s ended by itself: %v", n.name, err)
 	}
-	n.w.disturb(n, contact)
+	n.w.disturbed(disturbance{instance: n, planned: told && !killed}, contact)
 	if n.w.pause(restartAfter) {
 		n.start()
 	}
@@ -119,6 +121,7 @@
 		return
 	}
 	n.told = n.told || s == syscall.SIGKILL || s == syscall.SIGTERM
+	n.killed = n.killed || s == syscall.SIGKILL
 	if s == syscall.SIGTERM {
 		n.stops = append(n.stops, time.Now())
 	}
@@ -150,6 +153,7 @@
 		if n.w.inTouch(n, time.Now()) {
 			n.w.breaks("GRACE", "%s still runs %v after SIGTERM", n.name, grace)
 		}
+		n.w.disturb(n, contact)
 		n.kill()
 	}
 }
--- a/test/soak/link_test.go
+++ b/test/soak/link_test.go
@@ -1,8 +1,10 @@
 package soak_test
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -95,6 +97,9 @@
 				return
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			reset(to)
+		}
 		if err != nil {
 			return
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -131,7 +131,9 @@
 	w := newWorld(seed, setting("SOAK_INSTANCES", defaultInstances))
 	var callers sync.WaitGroup
 	calling, stopCalling := context.WithCancel(context.Background())
+	callingLong, stopCallingLong := context.WithCancel(calling)
 	defer func() {
+		stopCallingLong()
 		stopCalling()
 		w.end()
 	}()
@@ -139,10 +141,16 @@
 		for range callersPerInstance {
 			callers.Go(func() { w.callOn(n, calling) })
 		}
+		callers.Go(func() { w.callWith(n, callingLong, w.composeLong) })
 	}
 	disrupted := time.Now()
-	w.disrupt(disrupted.Add(time.Duration(setting("SOAK_SECONDS", defaultSeconds)) * time.Second))
+	until := disrupted.Add(time.Duration(setting("SOAK_SECONDS", defaultSeconds)) * time.Second)
+	var answers sync.WaitGroup
+	answers.Go(func() { w.disruptAnswers(until) })
+	w.disrupt(until)
+	answers.Wait()
 	calmAt := time.Now()
+	stopCallingLong()
 	w.pause(recovery)
 	from := time.Now()
 	w.pause(measured)
@@ -157,6 +165,8 @@
 	during, servedDuring, _ := w.book.outcome(disrupted, calmAt)
 	GinkgoWriter.Printf("seed %d: %d of %d served with faults, %d of %d after; %d loads, at most %.0f tokens of the quota in a window, not served after: %v\n",
 		seed, servedDuring, during, served, asked, len(w.book.loads), w.book.mostTokens, refusals)
+	silenced, only := w.book.silenced()
+	GinkgoWriter.Printf("seed %d: %d calls answered through a silence, %d of them by the only target with the model\n", seed, silenced, only)
 	if asked == 0 || float64(served) < servedAfter*float64(asked) {
 		broken = append(broken, fmt.Sprintf("RECOVER: %d of %d served after the faults: %v", served, asked, refusals))
 	}
--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -54,6 +54,9 @@
 	endless float64
 }
 
+// unsound reports whether calls are broken off.
+func (b behaviour) unsound() bool { return b.failing+b.losing+b.garbling+b.endless > 0 }
+
 // target is one incarnation of a target of a plain service or of an engine.
 type target struct {
 	w             *world
@@ -64,12 +67,21 @@
 	places        chan struct{}
 	engine        *engine
 
-	mu       sync.Mutex
-	born     time.Time
-	odd      behaviour
+	mu   sync.Mutex
+	born time.Time
+	odd  behaviour
+	// endOdd ends the unsound time of odd, nil if there is none.
+	endOdd   func()
 	coldFrom time.Time
 	drained  time.Time
 	ended    bool
+	// away is since when the process is gone, zero while it runs; it comes back.
+	away time.Time
+	// answers is how the target answers besides odd.
+	answers     answering
+	silentUntil time.Time
+	silences    []span
+	unsound     []span
 }
 
 func (w *world) startTarget(service, zone string, e *engine) *target {
@@ -88,10 +100,22 @@
 	return t
 }
 
+// behave has the target misbehave until it is told otherwise.
 func (t *target) behave(b behaviour) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.odd = b
+	end := t.endOdd
+	t.endOdd = nil
+	t.mu.Unlock()
+	if end != nil {
+		end()
+	}
+	if b.unsound() {
+		end = t.beginUnsound()
+		t.mu.Lock()
+		t.endOdd = end
+		t.mu.Unlock()
+	}
 }
 
 func (t *target) state() (odd behaviour, coldLeft time.Duration, drained, ended bool) {
@@ -113,6 +137,7 @@
 func (t *target) announce() {
 	key := platformtest.TargetPrefix + t.id
 	var sequence int64
+	lapsed := false
 	var endedAt time.Time
 	for t.w.pause(announceEvery) {
 		_, coldLeft, draining, ended := t.state()
@@ -126,6 +151,14 @@
 		if ended {
 			continue
 		}
+		if away := t.awaySince(); !away.IsZero() {
+			if !lapsed && time.Since(away) > lapseAfter {
+				lapsed = true
+				t.w.remove(key)
+			}
+			continue
+		}
+		lapsed = false
 		sequence++
 		a := fleet.Announcement{
 			ID: t.id, Service: t.service, Address: t.link.address(), Zone: t.zone, Slots: slots,
@@ -150,6 +183,7 @@
 	t.mu.Lock()
 	t.ended = true
 	t.mu.Unlock()
+	t.beginUnsound()
 	_ = t.server.Close()
 	t.link.close()
 }
@@ -161,21 +195,37 @@
 	t.coldFrom = time.Now()
 }
 
-// beginAnew ends the target and starts it under the same identity and address,
-// cold and empty.
-func (t *target) beginAnew() {
+// beginAnew ends the target and starts it after a while under the same identity and
+// address, cold and empty.
+func (t *target) beginAnew(after time.Duration) {
+	t.mu.Lock()
+	gone := !t.away.IsZero() || t.ended
+	if !gone {
+		t.away = time.Now()
+	}
+	t.mu.Unlock()
+	if gone {
+		return
+	}
+	defer t.beginUnsound()()
 	t.link.set(linkState{refuses: true})
 	t.link.resetAll()
-	t.w.pause(restartAfter)
+	t.w.pause(after)
 	if t.engine != nil {
 		t.engine.clear()
 	}
 	t.mu.Lock()
-	t.born, t.coldFrom = time.Now(), time.Now()
+	t.born, t.coldFrom, t.away = time.Now(), time.Now(), time.Time{}
 	t.mu.Unlock()
 	t.link.set(linkState{})
 }
 
+func (t *target) awaySince() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.away
+}
+
 func (t *target) bornAt() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -194,6 +244,7 @@
 	case t.engine != nil && r.URL.Path == platformtest.OrderPath:
 		t.order(w, r)
 	case t.engine != nil && r.URL.Path == platformtest.ReportPath:
+		t.speak(r.Context())
 		_, _ = w.Write(t.engine.report(t.bornAt()))
 	default:
 		t.serve(w, r)
@@ -207,13 +258,15 @@
 	b := t.w.book
 	switch r.URL.Path {
 	case platformtest.ReportPath:
+		t.speak(r.Context())
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case platformtest.OrderPath:
 		o, _, err := platformtest.DecodeOrder(r)
 		if err != nil {
 			return
 		}
-		b.arrived(t, o.Holder, time.Time{}, time.Now())
+		b.arrived(t, arrival{instance: o.Holder, at: time.Now()})
+		t.speak(r.Context())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		b.refusedBusy(t, o.Holder, time.Now())
 	default:
@@ -222,6 +275,7 @@
 			return
 		}
 		caller := b.arrivedCall(t, c)
+		t.speak(r.Context())
 		platformtest.RespondNotExecuted(w, c.ID, http.StatusServiceUnavailable)
 		b.refusedBusy(t, caller, time.Now())
 	}
@@ -234,6 +288,7 @@
 	}
 	t.w.book.arrivedCall(t, c)
 	if c.TargetID != "" && c.TargetID != t.id || t.engine != nil && !t.engine.holds(c.Model, c.Adapter) {
+		t.speak(r.Context())
 		platformtest.RespondNotExecuted(w, c.ID, http.StatusMisdirectedRequest)
 		return
 	}
@@ -241,6 +296,7 @@
 	case t.places <- struct{}{}:
 		defer func() { <-t.places }()
 	default:
+		t.speak(r.Context())
 		platformtest.RespondNotExecuted(w, c.ID, http.StatusServiceUnavailable)
 		return
 	}
@@ -252,12 +308,15 @@
 	if odd.slow {
 		step *= slowFactor
 	}
-	if !pause.For(ctx, step) {
-		return
+	if !pause.For(ctx, step) || !t.speak(ctx) {
+		panic(http.ErrAbortHandler)
 	}
 	if odd.leaving {
 		t.w.book.saidLeaving(t, c.ID)
 	}
+	if t.answerOddly(ctx, w, r, c) {
+		return
+	}
 	switch chance := rand.Float64(); {
 	case chance < odd.endless:
 		t.sendEndless(w, c)
@@ -308,6 +367,9 @@
 
 func (t *target) reply(w http.ResponseWriter, c platformtest.Received, garbled bool) {
 	body := t.answer(c.ID)
+	if !garbled && rand.Float64() < unframedShare && t.replyUnframed(w, c, body) {
+		return
+	}
 	platformtest.SetResponseHeader(w.Header(), c.ID, t.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write([]byte(body))
@@ -326,24 +388,34 @@
 
 const eventsOfStream = 8
 
+// cutStream ends a stream so that it does not look complete.
+func cutStream(out io.Writer) {
+	if raw, ok := out.(net.Conn); ok {
+		reset(raw)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // eventOf returns the data of an event, which is the same at each target.
 func eventOf(id string, n int) string { return fmt.Sprintf("event %d of %s", n, id) }
 
 func (t *target) stream(ctx context.Context, w http.ResponseWriter, c platformtest.Received) {
-	first := 1
-	if last, err := strconv.Atoi(c.Attempt.LastEventID); err == nil {
-		first = last + 1
-	}
 	platformtest.SetResponseHeader(w.Header(), c.ID, t.id)
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := first; n <= eventsOfStream; n++ {
-		if !pause.For(ctx, eventEvery) {
+	var out io.WriteCloser = flushed{w}
+	if rand.Float64() < unframedShare {
+		raw, ok := t.streamUnframed(w, c)
+		if !ok {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventOf(c.ID, n)); err != nil {
-			return
+		out = raw
+	}
+	defer out.Close()
+	for n := firstEvent(c); n <= eventsOfStream; n++ {
+		if !pause.For(ctx, gapOf(c)) || !t.speak(ctx) {
+			cutStream(out)
 		}
-		if http.NewResponseController(w).Flush() != nil {
+		if _, err := io.WriteString(out, encodeEvent(c.ID, n)); err != nil {
 			return
 		}
 	}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,8 @@
 	movedPath      = "/move/"
 	chatPath       = "/chat/"
 	resumedPath    = "/resume/"
+	resumedOnce    = "/resume-once/"
+	longPath       = "/long/"
 	plainAccount   = "plain"
 	meteredAccount = "metered"
 	// meteredRate and meteredBurst are in tokens, a call of the account has
@@ -37,7 +40,9 @@
 	meteredBurst = 800
 	meteredCall  = 40
 
-	modelCount      = 5
+	modelCount = 5
+	// rareModels get few calls, and one target each holds them at first.
+	rareModels      = 3
 	modelsPerTarget = 3
 	modelWeight     = 70_000
 	adapterSlots    = 4
@@ -53,6 +58,8 @@
 type disturbance struct {
 	instance *instance
 	from, to time.Time
+	// planned is set for the end of a planned stop.
+	planned bool
 }
 
 // version is a configuration and when the store acknowledged it.
@@ -81,6 +88,9 @@
 
 	instances []*instance
 
+	// configuring is held while a version is written.
+	configuring sync.Mutex
+
 	mu           sync.Mutex
 	random       *rand.Rand
 	names        int
@@ -89,6 +99,10 @@
 	versions     []version
 	evacuations  []evacuation
 	notes        []string
+
+	// shares are those of sound calls served before a prompt part crashed targets and while
+	// it is held back, soundCalls their numbers.
+	shares, soundCalls [2]float64
 }
 
 // newWorld starts a fleet of instances and targets.
@@ -159,7 +173,11 @@
 		w.startTarget("beta", zones[i%len(zones)], nil)
 	}
 	for i := range targetsOfEngine {
-		w.startTarget("pool", zones[i%len(zones)], newEngine(modelName(i%modelCount), modelName((i+2)%modelCount)))
+		held := []string{modelName(i % modelCount), modelName((i + 2) % modelCount)}
+		if i < rareModels {
+			held = append(held, modelName(modelCount+i))
+		}
+		w.startTarget("pool", zones[i%len(zones)], newEngine(held...))
 	}
 }
 
@@ -245,11 +263,15 @@
 
 // disturb notes that an instance, or all for nil, is not in touch from now on for
 // a while.
-func (w *world) disturb(n *instance, d time.Duration) {
+func (w *world) disturb(n *instance, d time.Duration) { w.disturbed(disturbance{instance: n}, d) }
+
+// disturbed notes a disturbance that begins now.
+func (w *world) disturbed(what disturbance, d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := time.Now()
-	w.disturbances = append(w.disturbances, disturbance{n, now, now.Add(d)})
+	what.from = time.Now()
+	what.to = what.from.Add(d)
+	w.disturbances = append(w.disturbances, what)
 }
 
 // inTouch reports whether the instance was undisturbed for the time of contact
@@ -351,6 +373,8 @@
 
 // configure puts a new version in force, which moves a route to a service.
 func (w *world) configure(movedTo string) {
+	w.configuring.Lock()
+	defer w.configuring.Unlock()
 	w.mu.Lock()
 	next := len(w.versions) + 1
 	w.mu.Unlock()
@@ -439,19 +463,21 @@
 // state is the configuration of the soak.
 func state(number int64, movedTo string) *catalog.State {
 	models := make(map[string]catalog.Model)
-	for i := range modelCount {
+	for i := range modelCount + rareModels {
 		models[modelName(i)] = catalog.Model{Name: modelName(i), WeightsMB: modelWeight, LoadTime: loadTime, Adapters: 2, AdapterMB: 10}
 	}
 	route := func(path, service string, kind catalog.Kind, attempts int) catalog.Route {
 		return catalog.Route{
 			Name: path, Host: hostName, PathPrefix: path, Kind: kind, Timeout: 3 * time.Second, TargetLatency: 300 * time.Millisecond,
 			EventGap: 300 * time.Millisecond, MaxAttempts: attempts, Services: []catalog.WeightedService{{Service: service, Weight: 1}},
-			Resumable: path == resumedPath,
+			Resumable: slices.Contains([]string{resumedPath, resumedOnce, longPath}, path),
 		}
 	}
 	plain := func(name string) *catalog.Service {
 		return &catalog.Service{Name: name, HealthPath: "/health", MaxConnections: 400, ColdStart: coldStart, ColdRate: coldRate}
 	}
+	long := route(longPath, "pool", catalog.Stream, 2)
+	long.Timeout, long.EventGap = longTimeout, maxLongGap
 	pool := plain("pool")
 	pool.Engine = &catalog.Engine{
 		Slots: slots, KVTokens: 100_000, WeightsMB: modelsPerTarget*modelWeight + modelWeight/2, AdapterSlots: adapterSlots,
@@ -462,7 +488,7 @@
 		Routes: []catalog.Route{
 			route(bookPath, "alpha", catalog.AtMostOnce, 2), route(lookPath, "alpha", catalog.Idempotent, 2),
 			route(movedPath, movedTo, catalog.AtMostOnce, 1), route(chatPath, "pool", catalog.Stream, 2),
-			route(resumedPath, "pool", catalog.Stream, 3),
+			route(resumedPath, "pool", catalog.Stream, 3), route(resumedOnce, "pool", catalog.Stream, 2), long,
 		},
 		Services: map[string]*catalog.Service{"alpha": plain("alpha"), "beta": plain("beta"), "pool": pool},
 		Accounts: []catalog.Account{
