--- a/test/soak/series_test.go
+++ b/test/soak/series_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -85,6 +86,52 @@
 	}
 }
 
+// rowEvery is the mean time between two rows of signals, withinRow the longest time
+// between two signals of a row.
+const (
+	rowEvery   = 2500 * time.Millisecond
+	withinRow  = 700 * time.Millisecond
+	longestRow = 4
+)
+
+// signals sends rows of signals and new configurations, each soon after the one before, to
+// one or two instances, until a time.
+func (s *series) signals(until time.Time) {
+	for s.w.pause(min(time.Duration(s.random.ExpFloat64()*float64(rowEvery)), time.Until(until))) && time.Now().Before(until) {
+		first := s.random.IntN(len(s.w.instances))
+		for range 2 + s.random.IntN(longestRow-1) {
+			n := s.w.instances[(first+s.random.IntN(2))%len(s.w.instances)]
+			s.w.note("row of signals: %s: %s", n.name, s.signal(n))
+			if !s.w.pause(time.Duration(s.random.Int64N(int64(withinRow)))) {
+				return
+			}
+		}
+	}
+}
+
+// signal draws what an instance is told, and returns its name.
+func (s *series) signal(n *instance) string {
+	switch s.random.IntN(6) {
+	case 0:
+		s.w.disturb(n, contact)
+		n.kill()
+		return "kill"
+	case 1, 2:
+		go n.stop()
+		return "planned stop"
+	case 3:
+		go s.w.configure([]string{"alpha", "beta"}[s.random.IntN(2)])
+		return "configuration"
+	}
+	n.signal(syscall.SIGHUP)
+	return "hang-up"
+}
+
+// disruptSignals runs the rows of signals of the seed.
+func (w *world) disruptSignals(until time.Time) {
+	(&series{w: w, random: rand.New(rand.NewPCG(w.seed, 2))}).signals(until)
+}
+
 // disruptAnswers runs the faults of answers of the seed.
 func (w *world) disruptAnswers(until time.Time) {
 	(&series{w: w, random: rand.New(rand.NewPCG(w.seed, 1))}).run(until)
