--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,7 +14,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/dotterellink/dotterellink/internal/call"
 	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/pause"
 	"github.com/dotterellink/dotterellink/platform/platformtest"
@@ -56,6 +54,9 @@
 	endless float64
 }
 
+// unsound reports whether calls are broken off.
+func (b behaviour) unsound() bool { return b.failing+b.losing+b.garbling+b.endless > 0 }
+
 // target is one incarnation of a target of a plain service or of an engine.
 type target struct {
 	w             *world
@@ -66,12 +67,21 @@
 	places        chan struct{}
 	engine        *engine
 
-	mu       sync.Mutex
-	born     time.Time
-	odd      behaviour
+	mu   sync.Mutex
+	born time.Time
+	odd  behaviour
+	// endOdd ends the unsound time of odd, nil if there is none.
+	endOdd   func()
 	coldFrom time.Time
 	drained  time.Time
 	ended    bool
+	// away is since when the process is gone, zero while it runs; it comes back.
+	away time.Time
+	// answers is how the target answers besides odd.
+	answers     answering
+	silentUntil time.Time
+	silences    []span
+	unsound     []span
 }
 
 func (w *world) startTarget(service, zone string, e *engine) *target {
@@ -90,10 +100,22 @@
 	return t
 }
 
+// behave has the target misbehave until it is told otherwise.
 func (t *target) behave(b behaviour) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.odd = b
+	end := t.endOdd
+	t.endOdd = nil
+	t.mu.Unlock()
+	if end != nil {
+		end()
+	}
+	if b.unsound() {
+		end = t.beginUnsound()
+		t.mu.Lock()
+		t.endOdd = end
+		t.mu.Unlock()
+	}
 }
 
 func (t *target) state() (odd behaviour, coldLeft time.Duration, drained, ended bool) {
@@ -115,6 +137,7 @@
 func (t *target) announce() {
 	key := platformtest.TargetPrefix + t.id
 	var sequence int64
+	lapsed := false
 	var endedAt time.Time
 	for t.w.pause(announceEvery) {
 		_, coldLeft, draining, ended := t.state()
@@ -128,6 +151,14 @@
 		if ended {
 			continue
 		}
+		if away := t.awaySince(); !away.IsZero() {
+			if !lapsed && time.Since(away) > lapseAfter {
+				lapsed = true
+				t.w.remove(key)
+			}
+			continue
+		}
+		lapsed = false
 		sequence++
 		a := fleet.Announcement{
 			ID: t.id, Service: t.service, Address: t.link.address(), Zone: t.zone, Slots: slots,
@@ -152,6 +183,7 @@
 	t.mu.Lock()
 	t.ended = true
 	t.mu.Unlock()
+	t.beginUnsound()
 	_ = t.server.Close()
 	t.link.close()
 }
@@ -163,21 +195,37 @@
 	t.coldFrom = time.Now()
 }
 
-// beginAnew ends the target and starts it under the same identity and address,
-// cold and empty.
-func (t *target) beginAnew() {
+// beginAnew ends the target and starts it after a while under the same identity and
+// address, cold and empty.
+func (t *target) beginAnew(after time.Duration) {
+	t.mu.Lock()
+	gone := !t.away.IsZero() || t.ended
+	if !gone {
+		t.away = time.Now()
+	}
+	t.mu.Unlock()
+	if gone {
+		return
+	}
+	defer t.beginUnsound()()
 	t.link.set(linkState{refuses: true})
 	t.link.resetAll()
-	t.w.pause(restartAfter)
+	t.w.pause(after)
 	if t.engine != nil {
 		t.engine.clear()
 	}
 	t.mu.Lock()
-	t.born, t.coldFrom = time.Now(), time.Now()
+	t.born, t.coldFrom, t.away = time.Now(), time.Now(), time.Time{}
 	t.mu.Unlock()
 	t.link.set(linkState{})
 }
 
+func (t *target) awaySince() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.away
+}
+
 func (t *target) bornAt() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -196,6 +244,7 @@
 	case t.engine != nil && r.URL.Path == platformtest.OrderPath:
 		t.order(w, r)
 	case t.engine != nil && r.URL.Path == platformtest.ReportPath:
+		t.speak(r.Context())
 		_, _ = w.Write(t.engine.report(t.bornAt()))
 	default:
 		t.serve(w, r)
@@ -209,13 +258,15 @@
 	b := t.w.book
 	switch r.URL.Path {
 	case platformtest.ReportPath:
+		t.speak(r.Context())
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case platformtest.OrderPath:
 		o, _, err := platformtest.DecodeOrder(r)
 		if err != nil {
 			return
 		}
-		b.arrived(t, o.Holder, time.Time{}, time.Now())
+		b.arrived(t, arrival{instance: o.Holder, at: time.Now()})
+		t.speak(r.Context())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		b.refusedBusy(t, o.Holder, time.Now())
 	default:
@@ -224,6 +275,7 @@
 			return
 		}
 		caller := b.arrivedCall(t, c)
+		t.speak(r.Context())
 		platformtest.RespondNotExecuted(w, c.ID, http.StatusServiceUnavailable)
 		b.refusedBusy(t, caller, time.Now())
 	}
@@ -236,6 +288,7 @@
 	}
 	t.w.book.arrivedCall(t, c)
 	if c.TargetID != "" && c.TargetID != t.id || t.engine != nil && !t.engine.holds(c.Model, c.Adapter) {
+		t.speak(r.Context())
 		platformtest.RespondNotExecuted(w, c.ID, http.StatusMisdirectedRequest)
 		return
 	}
@@ -243,6 +296,7 @@
 	case t.places <- struct{}{}:
 		defer func() { <-t.places }()
 	default:
+		t.speak(r.Context())
 		platformtest.RespondNotExecuted(w, c.ID, http.StatusServiceUnavailable)
 		return
 	}
@@ -254,12 +308,15 @@
 	if odd.slow {
 		step *= slowFactor
 	}
-	if !pause.For(ctx, step) {
-		return
+	if !pause.For(ctx, step) || !t.speak(ctx) {
+		panic(http.ErrAbortHandler)
 	}
 	if odd.leaving {
 		t.w.book.saidLeaving(t, c.ID)
 	}
+	if t.answerOddly(ctx, w, r, c) {
+		return
+	}
 	switch chance := rand.Float64(); {
 	case chance < odd.endless:
 		t.sendEndless(w, c)
@@ -310,6 +367,9 @@
 
 func (t *target) reply(w http.ResponseWriter, c platformtest.Received, garbled bool) {
 	body := t.answer(c.ID)
+	if !garbled && rand.Float64() < unframedShare && t.replyUnframed(w, c, body) {
+		return
+	}
 	platformtest.SetResponseHeader(w.Header(), c.ID, t.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write([]byte(body))
@@ -328,196 +388,35 @@
 
 const eventsOfStream = 8
 
+// cutStream ends a stream so that it does not look complete.
+func cutStream(out io.Writer) {
+	if raw, ok := out.(net.Conn); ok {
+		reset(raw)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // eventOf returns the data of an event, which is the same at each target.
 func eventOf(id string, n int) string { return fmt.Sprintf("event %d of %s", n, id) }
 
 func (t *target) stream(ctx context.Context, w http.ResponseWriter, c platformtest.Received) {
-	first := 1
-	if last, err := strconv.Atoi(c.Attempt.LastEventID); err == nil {
-		first = last + 1
-	}
 	platformtest.SetResponseHeader(w.Header(), c.ID, t.id)
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := first; n <= eventsOfStream; n++ {
-		if !pause.For(ctx, eventEvery) {
+	var out io.WriteCloser = flushed{w}
+	if rand.Float64() < unframedShare {
+		raw, ok := t.streamUnframed(w, c)
+		if !ok {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventOf(c.ID, n)); err != nil {
-			return
-		}
-		if http.NewResponseController(w).Flush() != nil {
-			return
-		}
+		out = raw
 	}
-}
-
-// engine is what an engine target holds.
-type engine struct {
-	mu       sync.Mutex
-	models   map[string][]string
-	onDisk   map[string]bool
-	coming   string
-	accepted int64
-	// life counts restarts: loads of a life before do not end in this one.
-	life int
-	// told is the last report, as old as reportLag.
-	told   fleet.Report
-	toldAt time.Time
-}
-
-func newEngine(models ...string) *engine {
-	e := &engine{models: make(map[string][]string), onDisk: make(map[string]bool)}
-	for _, m := range models {
-		e.models[m], e.onDisk[m] = nil, true
-	}
-	return e
-}
-
-// clear drops what a restart loses: all but the copies on disk.
-func (e *engine) clear() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	clear(e.models)
-	e.accepted = 0
-	e.life++
-}
-
-func (e *engine) holds(model, adapter string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	adapters, ok := e.models[model]
-	return ok && (adapter == "" || slices.Contains(adapters, adapter))
-}
-
-func (e *engine) held() []fleet.HeldModel {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.heldLocked()
-}
-
-func (e *engine) heldLocked() []fleet.HeldModel {
-	var out []fleet.HeldModel
-	for name, adapters := range e.models {
-		out = append(out, fleet.HeldModel{Name: name, Version: 1, Adapters: slices.Clone(adapters)})
-	}
-	return out
-}
-
-func (e *engine) copies() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var out []string
-	for name := range e.onDisk {
-		out = append(out, name)
-	}
-	return out
-}
-
-func (e *engine) report(born time.Time) []byte {
-	held, copies := e.held(), e.copies()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if time.Since(e.toldAt) > reportLag {
-		e.told = fleet.Report{Models: held, OnDisk: copies, OrderInProgress: e.coming != "", Orders: e.accepted, BornMS: born.UnixMilli()}
-		e.toldAt = time.Now()
-	}
-	return platformtest.EncodeReport(e.told)
-}
-
-// order takes an order, checks who gave it, and carries it out.
-func (t *target) order(w http.ResponseWriter, r *http.Request) {
-	o, targetID, err := platformtest.DecodeOrder(r)
-	if err != nil || o.Holder == "" {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	b := t.w.book
-	b.mu.Lock()
-	b.orders[t] = append(b.orders[t], order{time.Now(), o.Holder})
-	b.mu.Unlock()
-	b.arrived(t, o.Holder, time.Time{}, time.Now())
-	odd, _, _, _ := t.state()
-	if odd.ordersLate {
-		go func() {
-			time.Sleep(time.Second + time.Duration(rand.Int64N(int64(2*time.Second))))
-			t.carryOut(o, targetID)
-		}()
-		pause.For(r.Context(), heldAnswer)
-		panic(http.ErrAbortHandler)
-	}
-	w.WriteHeader(t.carryOut(o, targetID))
-}
-
-// carryOut returns the status of an order and starts it.
-func (t *target) carryOut(o call.Order, targetID string) int {
-	e := t.engine
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	adapters, held := e.models[o.Model]
-	switch {
-	case targetID != t.id:
-		return http.StatusMisdirectedRequest
-	case o.ExpectedOrders != e.accepted:
-		return http.StatusConflict
-	case o.Kind == call.LoadModel && held:
-		return http.StatusOK
-	case o.Kind != call.LoadModel && !held:
-		return http.StatusBadRequest
-	}
-	switch o.Kind {
-	case call.LoadModel, call.UnloadModel:
-		if e.coming != "" {
-			return http.StatusConflict
-		}
-		t.moveModel(o)
-	case call.LoadAdapter:
-		if slices.Contains(adapters, o.Adapter) {
-			return http.StatusOK
+	defer out.Close()
+	for n := firstEvent(c); n <= eventsOfStream; n++ {
+		if !pause.For(ctx, gapOf(c)) || !t.speak(ctx) {
+			cutStream(out)
 		}
-		e.models[o.Model] = append(adapters, o.Adapter)
-		t.checkAdapters()
-	case call.UnloadAdapter:
-		e.models[o.Model] = slices.DeleteFunc(slices.Clone(adapters), func(a string) bool { return a == o.Adapter })
-	}
-	e.accepted++
-	return http.StatusAccepted
-}
-
-// moveModel requires e.mu.
-func (t *target) moveModel(o call.Order) {
-	e := t.engine
-	if o.Kind == call.UnloadModel {
-		delete(e.models, o.Model)
-		return
-	}
-	if len(e.models)+1 > modelsPerTarget {
-		t.w.breaks("LIMIT", "%s holds %d models and is ordered to load %s", t.id, len(e.models), o.Model)
-	}
-	e.coming = o.Model
-	takes := loadTime
-	if e.onDisk[o.Model] {
-		takes /= 4
-	} else {
-		t.w.loadBegins()
-	}
-	life := e.life
-	time.AfterFunc(takes, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.coming = ""
-		if e.life == life {
-			e.models[o.Model], e.onDisk[o.Model] = nil, true
+		if _, err := io.WriteString(out, encodeEvent(c.ID, n)); err != nil {
+			return
 		}
-	})
-}
-
-// checkAdapters requires e.mu.
-func (t *target) checkAdapters() {
-	n := 0
-	for _, adapters := range t.engine.models {
-		n += len(adapters)
-	}
-	if n > adapterSlots {
-		t.w.breaks("LIMIT", "%s holds %d adapters, %d fit", t.id, n, adapterSlots)
 	}
 }
