An engine that started anew counts as cold once a report shows it

What callers saw: nothing yet; found by the soak. While the store was down, cold engines got 12 to 18 calls in a second, 11 allowed. Cause: the holder of the placement lease sees a new run in a report and gives it models again, while all instances knew cold starts of engines by announcements alone, of which there are none in an outage. Change: the holder tells that the run is not the announced one; the target counts as cold and the peers hear of it at once.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,7 +180,7 @@
 		Leases: g.leases, ReachableZones: g.exchange.ReachableZones, Operator: g.deps.Operator, Fleet: g.fleet, Catalog: g.catalog, Demand: g.demand,
 		View: g.view, Node: g.node, Log: g.log, Metrics: g.registry, TriggerBroadcast: g.exchange.TriggerBroadcast,
 		Work:     func(id string) time.Duration { return g.dispatcher.Waiting(id, time.Now()) },
-		OnNotice: g.onNotice, Quiet: func(id string) bool { return g.dispatcher.QuietFor(id, time.Now()) > 0 },
+		OnNotice: g.onNotice, OnRestart: g.onRestart, Quiet: func(id string) bool { return g.dispatcher.QuietFor(id, time.Now()) > 0 },
 	})
 }
 
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -42,3 +42,11 @@
 		}).Info("gateway: Target wants no requests for a while.")
 	}
 }
+
+// onRestart records that a target started anew, which its announcement does not show yet:
+// it is cold, and peers that did not read its report do not know.
+func (g *Gateway) onRestart(t *fleet.Target) {
+	g.dispatcher.SuspectCold(t.ID, time.Now())
+	g.exchange.TriggerBroadcast()
+	g.log.WithFields(log.Fields{"target": t.ID, "zone": t.Zone, "announced_born_ms": t.BornMS}).Info("gateway: Target started anew, as its report says.")
+}
--- a/internal/residency/keeper.go
+++ b/internal/residency/keeper.go
@@ -54,8 +54,9 @@
 	reachableZones func() map[string]bool
 	// onNotice is called for each answer of a target. quiet reports whether a target wants
 	// no request of this instance for now.
-	onNotice func(t *fleet.Target, n call.Notice)
-	quiet    func(id string) bool
+	onNotice  func(t *fleet.Target, n call.Notice)
+	onRestart func(t *fleet.Target)
+	quiet     func(id string) bool
 
 	mu      sync.Mutex
 	targets map[string]*managedTarget
@@ -100,6 +101,8 @@
 	ReachableZones func() map[string]bool
 	// OnNotice is called with what an answer of a target says about the target.
 	OnNotice func(t *fleet.Target, n call.Notice)
+	// OnRestart is called if the report of a target is of another run than the announced one.
+	OnRestart func(t *fleet.Target)
 	// Quiet reports whether a target wants no request of this instance for now.
 	Quiet func(id string) bool
 }
@@ -109,7 +112,7 @@
 func NewController(config ControllerConfig) *Controller {
 	c := &Controller{
 		leases: config.Leases, reachableZones: config.ReachableZones, operator: config.Operator, fleet: config.Fleet, catalog: config.Catalog, demand: config.Demand, view: config.View,
-		node: config.Node, log: config.Log, now: time.Now, triggerBroadcast: config.TriggerBroadcast, queuedWork: config.Work, onNotice: config.OnNotice, quiet: config.Quiet,
+		node: config.Node, log: config.Log, now: time.Now, triggerBroadcast: config.TriggerBroadcast, queuedWork: config.Work, onNotice: config.OnNotice, onRestart: config.OnRestart, quiet: config.Quiet,
 		targets: make(map[string]*managedTarget), loadBuckets: make(map[zoneService]*loadBucket), absences: make(map[zoneModel]absence), demandLoggedAt: make(map[zoneService]time.Time), growth: make(map[string]growth), adapterUsedAt: make(map[string]time.Time),
 		metrics: controllerMetrics{
 			orders:  prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_orders_total", Help: "Orders sent to targets."}),
@@ -255,6 +258,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applyReport(r, requestedAt)
+	if r.BornMS > 0 && t.BornMS > 0 && r.BornMS != t.BornMS && r.BornMS != m.unannouncedBornMS {
+		m.unannouncedBornMS = r.BornMS
+		c.onRestart(t)
+	}
 }
 
 // advanceMoves sends the next orders of all moves in parallel, so that an unreachable
--- a/internal/residency/keeper_test.go
+++ b/internal/residency/keeper_test.go
@@ -34,6 +34,7 @@
 	// notice is in all answers; reports counts the reports asked for.
 	notice  call.Notice
 	reports int
+	bornMS  int64
 }
 
 func (t *fakeTarget) removeAdapter(adapter string) {
@@ -124,7 +125,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.byID[id]
-	r := fleet.Report{Orders: t.orders, OrderInProgress: t.busy}
+	r := fleet.Report{BornMS: t.bornMS, Orders: t.orders, OrderInProgress: t.busy}
 	for _, m := range t.models {
 		held := fleet.HeldModel{Name: m}
 		for _, a := range t.adapters {
@@ -138,6 +139,12 @@
 	return r, t.notice, nil
 }
 
+func (f *fakeOperator) setBorn(id string, ms int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.byID[id].bornMS = ms
+}
+
 func (f *fakeOperator) copies(model string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -173,9 +180,11 @@
 	var demand *Demand
 	var ctx context.Context
 	var quiet atomic.Bool
+	var restarted atomic.Value
 
 	BeforeEach(func() {
 		quiet.Store(false)
+		restarted = atomic.Value{}
 		e := &catalog.Engine{WeightsMB: 220_000, AdapterSlots: 2, LoadsPerSecond: 50, Models: make(map[string]catalog.Model)}
 		for i := range 5 {
 			name := fmt.Sprint("m", i)
@@ -214,7 +223,8 @@
 					table.MarkLeaving(t.ID, t.BornMS, time.Now())
 				}
 			},
-			Quiet: func(id string) bool { return quiet.Load() && id == "t0" },
+			OnRestart: func(t *fleet.Target) { restarted.Store(t.ID) },
+			Quiet:     func(id string) bool { return quiet.Load() && id == "t0" },
 		})
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(context.Background())
@@ -229,6 +239,18 @@
 		}
 	}
 
+	// Guards against calls at the full rate to a cold engine: the holder of the lease loaded a
+	// model at a run that no announcement had shown, and the other instances took it for warm.
+	It("tells that a target started anew as soon as a report shows it", func() {
+		a := table.View().Targets["t1"].Announcement
+		a.BornMS = 5
+		table.Upsert(a, time.Now())
+		operator.setBorn("t1", 5)
+		Consistently(restarted.Load, 2*time.Second).Should(BeNil())
+		operator.setBorn("t1", 6)
+		Eventually(restarted.Load, 4*time.Second).Should(Equal("t1"))
+	})
+
 	It("adds copies of a model when demand shifts to it", func() {
 		go addDemand(demand, "m3", 6*time.Second)
 		Eventually(func() int { return operator.copies("m3") }, 8*time.Second).Should(BeNumerically(">=", 2))
--- a/internal/residency/target.go
+++ b/internal/residency/target.go
@@ -56,6 +56,9 @@
 	// applied report was requested.
 	reportRequestedAt time.Time
 	reportedAt        time.Time
+	// unannouncedBornMS is the start time of the last run that a report told before any
+	// announcement did.
+	unannouncedBornMS int64
 	// acknowledgedAt is when the target last acknowledged an order, accepted or without
 	// change; sentAt is when the last order of the move was sent.
 	acknowledgedAt time.Time
