The stored quarantine is read before the first call is served

Callers: after the loss of all instances calls with a quarantined part could crash targets at an instance that had just started.

Seen once, as a failure of "are refused after all instances were lost at once" in a run of all suites with GOMAXPROCS=3 (502 in place of 503).

Change: the instance that found no peer with a configuration reads the object before it starts to read the store otherwise, for 0.5 s at most.

--- a/internal/gateway/crashing_prompt_test.go
+++ b/internal/gateway/crashing_prompt_test.go
@@ -145,8 +145,17 @@
 	})
 }
 
+// slowObjects is a store whose single reads take time.
+type slowObjects struct{ port.Objects }
+
+func (s slowObjects) Get(ctx context.Context, key string) (port.Object, error) {
+	time.Sleep(200 * time.Millisecond)
+	return s.Objects.Get(ctx, key)
+}
+
 var _ = Describe("Calls with a prompt part that crashes targets", func() {
 	var store *platformstandin.Store
+	var objects port.Objects
 	var seeds []string
 	var record *crashes
 	var calls atomic.Int64
@@ -158,7 +167,7 @@
 		s.Listen = gateway.ListenSettings{Callers: freeAddress(), Ready: freeAddress(), Mesh: freeAddress()}
 		s.Drain.GraceSeconds = 3
 		g, err := gateway.New(s, gateway.Dependencies{
-			Objects: store, Eras: port.NewEras(), Source: platform.Source(), Dialect: platform.Dialect{}, Operator: platform.NewOperator(),
+			Objects: objects, Eras: port.NewEras(), Source: platform.Source(), Dialect: platform.Dialect{}, Operator: platform.NewOperator(),
 			ReadyPath: platform.ReadyPath, Tracing: telemetry.NoTracing(),
 		}, telemetry.Discard(), prometheus.NewRegistry())
 		Expect(err).NotTo(HaveOccurred())
@@ -244,6 +253,7 @@
 
 	BeforeEach(func() {
 		store, seeds, record = platformstandin.NewStore(clockwork.NewRealClock(), 1), nil, &crashes{}
+		objects = store
 		for i := range 8 {
 			t := &crashingTarget{id: fmt.Sprint("i-", i), address: "127.0.0.1:0", crashes: record}
 			t.announce = func(id, address string, born int) {
@@ -298,21 +308,23 @@
 		return first
 	}
 
-	// Guards against the crashes beginning anew after the loss of all instances.
+	// Guards against the crashes beginning anew after the loss of all instances, also in the
+	// moment before the stored quarantine is read.
 	It("are refused after all instances were lost at once", func() {
 		first := startAndCrash()
 		Eventually(func() error { _, err := store.Get(ctx, "quarantine/parts"); return err }, time.Second).Should(Succeed())
 		first.stop()
 		Eventually(first.done, 10*time.Second).Should(Receive())
 		first.done <- nil
-		seeds = nil
+		seeds, objects = nil, slowObjects{store}
 		second := start("i2", "z2")
-		Eventually(func() int { return sendSound(second) }, 5*time.Second).Should(Equal(http.StatusOK))
 		before := record.count()
+		Eventually(func() string { return sendCrashing(second) }, 5*time.Second, time.Millisecond).Should(Equal(refused))
 		for range 5 {
 			Expect(sendCrashing(second)).To(Equal(refused))
 		}
 		Expect(record.count()).To(Equal(before))
+		Eventually(func() int { return sendSound(second) }, 2*time.Second).Should(Equal(http.StatusOK))
 	})
 
 	It("are refused at an instance that starts after the crashes, also if the others hear nothing more", func() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,7 @@
 	fetchingState atomic.Bool
 	peerVersions  peerVersions
 	registration  registration
+	storedParts   quarantineStore
 	notices       noticeMetrics
 	// leavingChanged is set if a target said that it leaves since the last status.
 	leavingChanged atomic.Bool
--- a/internal/gateway/introduce.go
+++ b/internal/gateway/introduce.go
@@ -30,9 +30,18 @@
 )
 
 // bootstrapFromPeers fetches a snapshot from a peer, if one has a configuration, before
-// the store is read.
+// the store is read. Without such a peer it reads the stored quarantine, so that no call is
+// served before.
 func (g *Gateway) bootstrapFromPeers(ctx context.Context) {
 	defer close(g.bootstrapped)
+	g.fetchFromPeers(ctx)
+	if g.catalog.Current() == nil {
+		g.storedParts.unread = true
+		g.readQuarantine(ctx)
+	}
+}
+
+func (g *Gateway) fetchFromPeers(ctx context.Context) {
 	for {
 		g.dialSeeds()
 		if !pause.For(ctx, bootstrapPollInterval) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -17,6 +17,8 @@
 	quarantineKey = "quarantine/parts"
 	// quarantineRetryDelay is the time between attempts to read or write that object.
 	quarantineRetryDelay = time.Second
+	// quarantineReadTimeout bounds a read of that object.
+	quarantineReadTimeout = 500 * time.Millisecond
 	// maxStoredParts bounds the parts in that object.
 	maxStoredParts = 64
 )
@@ -27,36 +29,33 @@
 	Parts     []quarantine.Suspicion `json:"parts"`
 }
 
-// quarantineStore is the state of keepQuarantine.
+// quarantineStore is the state of the stored quarantine. bootstrapFromPeers uses it, and
+// keepQuarantine after that.
 type quarantineStore struct {
+	// unread is set while the object has to be read. A peer that gave a snapshot knows the
+	// quarantine or reads it itself.
+	unread bool
 	// revision is the revision of the tracker that was last written, and version that of
 	// the object.
 	revision uint64
 	version  platform.Version
 }
 
-// keepQuarantine reads the stored quarantine if no peer told it, and then writes it when it
-// changes while this instance watches the store.
+// keepQuarantine reads the stored quarantine if that is still due, and then writes it when
+// it changes while this instance watches the store.
 func (g *Gateway) keepQuarantine(ctx context.Context) error {
-	var s quarantineStore
-	// A peer that gave a snapshot knows the quarantine or reads it itself.
-	if g.catalog.Current() == nil {
-		for {
-			err := g.readQuarantine(ctx, &s)
-			if err == nil {
-				break
-			}
-			g.log.WithError(err).Info("gateway: Cannot read quarantined prompt parts yet.")
-			if !pause.For(ctx, quarantineRetryDelay) {
-				return ctx.Err()
-			}
+	s := &g.storedParts
+	for s.unread {
+		if !pause.For(ctx, quarantineRetryDelay) {
+			return ctx.Err()
 		}
+		g.readQuarantine(ctx)
 	}
 	for pause.For(ctx, housekeepingInterval) {
 		if g.quarantine.Revision() == s.revision || !g.watching() {
 			continue
 		}
-		if err := g.writeQuarantine(ctx, &s); err != nil {
+		if err := g.writeQuarantine(ctx); err != nil {
 			g.log.WithError(err).Info("gateway: Cannot store quarantined prompt parts yet.")
 			pause.For(ctx, quarantineRetryDelay)
 		}
@@ -64,19 +63,25 @@
 	return ctx.Err()
 }
 
-func (g *Gateway) readQuarantine(ctx context.Context, s *quarantineStore) error {
+func (g *Gateway) readQuarantine(ctx context.Context) {
+	s := &g.storedParts
+	ctx, cancel := context.WithTimeout(ctx, quarantineReadTimeout)
+	defer cancel()
 	o, err := g.deps.Objects.Get(ctx, quarantineKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		g.log.WithError(err).Info("gateway: Cannot read quarantined prompt parts yet.")
+		return
 	}
+	s.unread = false
 	if err != nil {
-		return err
+		s.version = 0
+		return
 	}
 	s.version = o.Version
 	var stored storedQuarantine
 	if err := json.Unmarshal(o.Value, &stored); err != nil {
 		g.log.WithError(err).Warn("gateway: Cannot decode stored quarantine.")
-		return nil
+		return
 	}
 	now := time.Now()
 	age := max(0, now.Sub(time.UnixMilli(stored.WrittenMS)))
@@ -85,14 +90,15 @@
 			p.Crashes[i].AgoUS += age.Microseconds()
 		}
 	}
-	if g.quarantine.Revision() == s.revision {
-		defer func() { s.revision = g.quarantine.Revision() }()
-	}
+	written := g.quarantine.Revision() == s.revision
 	g.quarantine.Merge(stored.Parts, now)
-	return nil
+	if written {
+		s.revision = g.quarantine.Revision()
+	}
 }
 
-func (g *Gateway) writeQuarantine(ctx context.Context, s *quarantineStore) error {
+func (g *Gateway) writeQuarantine(ctx context.Context) error {
+	s := &g.storedParts
 	now := time.Now()
 	parts, revision := g.quarantine.Quarantined(now)
 	value, err := json.Marshal(storedQuarantine{WrittenMS: now.UnixMilli(), Parts: parts[:min(len(parts), maxStoredParts)]})
@@ -100,12 +106,10 @@
 		return err
 	}
 	o, err := g.deps.Objects.Put(ctx, quarantineKey, value, s.version)
-	if err == nil {
-		s.version, s.revision = o.Version, revision
-		return nil
-	}
-	if readErr := g.readQuarantine(ctx, s); readErr != nil {
-		return readErr
+	if err != nil {
+		g.readQuarantine(ctx)
+		return err
 	}
-	return err
+	s.version, s.revision = o.Version, revision
+	return nil
 }
