Spec of memory before endless targets takes the least of three collections

The least of three consecutive collections is still no less than what is live. The bound stays 20 MiB.

--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"runtime"
@@ -133,11 +134,17 @@
 	})
 
 	It("needs little memory while twenty targets do so at once", func() {
+		// heap returns the live memory. What is allocated during a collection counts as live
+		// until the next one, so the least of some collections is closest.
 		heap := func() uint64 {
-			var m runtime.MemStats
-			runtime.GC()
-			runtime.ReadMemStats(&m)
-			return m.HeapAlloc
+			least := uint64(math.MaxUint64)
+			for range 3 {
+				var m runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&m)
+				least = min(least, m.HeapAlloc)
+			}
+			return least
 		}
 		before := heap()
 		done := make(chan struct{})
