A refused connection of a successor counts like any other refused connection

What callers saw: a stalled call found no sound target behind three that refused connections, and a plain target that refused the connection of a call that it was to take over, as it may have started anew, got calls at the full rate. Cause: such refusals counted as sends that had arrived, and gave no suspicion of a cold start. Evidence: both specs fail on the code before and pass now.

--- a/internal/passthrough/stall.go
+++ b/internal/passthrough/stall.go
@@ -58,9 +58,10 @@
 	successor *try
 	committed bool
 	// tried holds the IDs of the targets of former successors. runs counts those that may
-	// have run the call.
-	tried map[string]bool
-	runs  int
+	// have run the call, unreachable those that accepted no connection.
+	tried       map[string]bool
+	runs        int
+	unreachable int
 }
 
 // watchStall starts to watch the attempt that is about to be sent. abort ends it.
@@ -174,6 +175,9 @@
 	now := f.Now()
 	result := f.successorResult(t)
 	switch {
+	case result == dispatch.Unreachable:
+		w.unreachable++
+		f.suspectRestart(t.pick.Target.ID, t.err)
 	case result == dispatch.Failed:
 		w.runs++
 		if t.err != nil {
@@ -254,6 +258,7 @@
 	}
 	f.sends += len(w.tried)
 	f.runs += w.runs
+	f.connectFailures += w.unreachable
 	return t
 }
 
@@ -261,7 +266,9 @@
 // retry from the budget. It requires w.mu.
 func (f *forwarder) reserveSuccessor(w *stallWatch, now time.Time) (dispatch.Pick, bool) {
 	service := f.state.Services[f.service]
-	if service == nil || f.sends-f.connectFailures+len(w.tried) >= maxSends || f.runs+1+w.runs >= f.route.MaxAttempts {
+	connectFailures := f.connectFailures + w.unreachable
+	if service == nil || connectFailures >= maxConnectFailures || f.sends+len(w.tried)-connectFailures >= maxSends ||
+		f.runs+1+w.runs >= f.route.MaxAttempts {
 		return dispatch.Pick{}, false
 	}
 	if _, quarantined := f.Quarantine.Check(f.call.Prefix, now); quarantined {
