A call that another target already has is not answered as not run

What callers saw: 503 (not run, quota given back) for a call that its successor was running, if the first target rejected it, or accepted no connection, while a part of its prompt was quarantined. Cause: the check of the quarantine came before the successor was counted. Found by a review, which showed it by a spec. Change: a successor that was sent is followed up; giving a call up counts it first. Runs are counted after the watch of stalls has ended, as its timer reads them. Evidence: the spec failed on the code before and passes now.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -33,7 +33,7 @@
 
 // attempt makes one attempt and reports whether another must follow.
 func (f *forwarder) attempt(ctx context.Context) bool {
-	if f.refuseQuarantined() {
+	if f.successor == nil && f.refuseQuarantined() {
 		return false
 	}
 	t, ok := f.nextTry(ctx)
@@ -151,12 +151,12 @@
 // attemptBroken handles an attempt that may have run but has no complete answer, and
 // reports whether another attempt must follow.
 func (f *forwarder) attemptBroken(ctx context.Context, ticket *dispatch.Ticket, watch *stallWatch, err error) bool {
-	f.runs++
 	result := f.classify(err)
 	ticket.End(result, f.Now())
 	if t := f.endWatch(watch, result != dispatch.Abandoned && ctx.Err() == nil); t != nil {
 		f.successor = t
 	}
+	f.runs++
 	name := "broken"
 	if watch.committed {
 		name = "stalled"
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -250,6 +250,7 @@
 // giveUp ends a call for which no further attempt is made. The answer depends on
 // whether the call may have run and on what was already relayed.
 func (f *forwarder) giveUp(reason string, retryAfter time.Duration) {
+	f.dropSuccessor()
 	switch {
 	case f.headSent:
 		f.cut = true
--- a/internal/passthrough/successor_test.go
+++ b/internal/passthrough/successor_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/dotterellink/dotterellink/internal/call"
 	"github.com/dotterellink/dotterellink/internal/catalog"
 	"github.com/dotterellink/dotterellink/internal/dispatch"
 	"github.com/dotterellink/dotterellink/internal/fleet"
@@ -24,13 +25,15 @@
 	var holder *catalog.Holder
 	var table *fleet.Table
 	var front *httptest.Server
+	var tracker *quarantine.Tracker
 	var dispatcher *dispatch.Dispatcher
 	var service *catalog.Service
 
 	BeforeEach(func() {
 		registry := prometheus.NewRegistry()
 		holder, table, dispatcher = catalog.NewHolder(), fleet.NewTable(), dispatch.NewDispatcher()
-		front = httptest.NewServer(newServerWith(holder, table, &fakeResidency{}, dispatcher, registry, quarantine.NewTracker(telemetry.Discard(), registry)))
+		tracker = quarantine.NewTracker(telemetry.Discard(), registry)
+		front = httptest.NewServer(newServerWith(holder, table, &fakeResidency{}, dispatcher, registry, tracker))
 		DeferCleanup(front.Close)
 		service = &catalog.Service{Name: "s", MaxConnections: 100}
 	})
@@ -63,6 +66,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		r.Host = "h.example"
 		r.Header.Set("Id", "c1")
+		r.Header.Set("Prefix", "7,8,9")
 		answer, err := front.Client().Do(r)
 		Expect(err).NotTo(HaveOccurred())
 		defer answer.Body.Close()
@@ -71,6 +75,27 @@
 		return answer.StatusCode, string(body)
 	}
 
+	// Guards against an answer that says "not run" while the second target runs the call: the
+	// first one rejected it, and a part of its prompt was quarantined meanwhile.
+	It("does not promise that a call has not run while the other target has it", func() {
+		received := make(chan struct{})
+		start("t0", func(w http.ResponseWriter, r *http.Request) {
+			start("t1", func(w http.ResponseWriter, r *http.Request) {
+				close(received)
+				time.Sleep(500 * time.Millisecond)
+				echo(w, r)
+			})
+			<-received
+			for i := range 3 {
+				run := quarantine.Run{TargetID: fmt.Sprint("old", i)}
+				tracker.Crashed([]call.PrefixPart{{ID: 7}, {ID: 10}}, run, time.Now().Add(time.Duration(i)*time.Second))
+			}
+			notRun(w, r)
+		})
+		status, body := send()
+		Expect(status).NotTo(Equal(http.StatusServiceUnavailable), body)
+	})
+
 	// Guards against calls at the full rate to a cold target: it refused the connection of a
 	// call that it was to take over, so that it may have started anew.
 	It("suspects that a target is cold that refuses the connection", func() {
