--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -300,6 +300,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	ticket.End(dispatch.Served, f.Now())
+	f.recordAnswered(ticket, response)
 	f.finish("served", nil)
 	return false
 }
