A conflict on the stored quarantine takes over its version alone

Cause: each failed write read the object and took over its parts, also those that had been lifted since. Found by reading (review); no spec.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -63,8 +63,11 @@
 	return ctx.Err()
 }
 
+// readQuarantine reads the object, and takes over its parts while they are unread. Later
+// they are known from the peers, and may have been lifted since.
 func (g *Gateway) readQuarantine(ctx context.Context) {
 	s := &g.storedParts
+	unread := s.unread
 	ctx, cancel := context.WithTimeout(ctx, quarantineReadTimeout)
 	defer cancel()
 	o, err := g.deps.Objects.Get(ctx, quarantineKey)
@@ -78,6 +81,9 @@
 		return
 	}
 	s.version = o.Version
+	if !unread {
+		return
+	}
 	var stored storedQuarantine
 	if err := json.Unmarshal(o.Value, &stored); err != nil {
 		g.log.WithError(err).Warn("gateway: Cannot decode stored quarantine.")
