--- a/internal/residency/keeper_test.go
+++ b/internal/residency/keeper_test.go
@@ -228,9 +228,13 @@
 		})
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(context.Background())
-		DeferCleanup(cancel)
-		go leases.Run(ctx)     //nolint:errcheck // Ends with the context.
-		go controller.Run(ctx) //nolint:errcheck // Ends with the context.
+		var running sync.WaitGroup
+		running.Go(func() { _ = leases.Run(ctx) })
+		running.Go(func() { _ = controller.Run(ctx) })
+		DeferCleanup(func() {
+			cancel()
+			running.Wait()
+		})
 	})
 
 	addDemand := func(d *Demand, model string, length time.Duration) {
