--- a/internal/fleet/departed.go
+++ b/internal/fleet/departed.go
@@ -7,8 +7,8 @@
 	// missing that operators or targets write again. Targets write every 1.2 s.
 	EraGrace = 3 * time.Second
 	// returnProbation is how long after that, or after it came back otherwise, an entry of a
-	// target that had left is not trusted. The store removes the entry of a target that is gone after three missed
-	// announcements.
+	// target that had left is not trusted. The store removes the entry of a target that is
+	// gone after three missed announcements.
 	returnProbation = 6 * time.Second
 	// departedRetention bounds the memory of targets that have left, and maxDeparted their
 	// number.
--- a/internal/passthrough/try.go
+++ b/internal/passthrough/try.go
@@ -12,7 +12,8 @@
 	"github.com/dotterellink/dotterellink/internal/upstream"
 )
 
-// try is one send of the call to a target. Each attempt begins with one.
+// try is one send of the call to a target. Each attempt begins with one; a successor that
+// is given up stays without an attempt.
 type try struct {
 	pick    dispatch.Pick
 	ticket  *dispatch.Ticket
--- a/internal/quarantine/confirm.go
+++ b/internal/quarantine/confirm.go
@@ -29,8 +29,8 @@
 	return &Confirmer{refuses: refuses, checks: make(map[Run]*check)}
 }
 
-// Ended reports whether the address of a run, which broke off a connection, refuses new
-// ones. Concurrent and later uses for the run share one check.
+// Ended reports whether a run, which broke off a connection, has ended: its address refuses
+// new ones. Concurrent and later uses for the run share one check.
 func (c *Confirmer) Ended(run Run, address string, now time.Time) bool {
 	c.mu.Lock()
 	for known, old := range c.checks {
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -96,13 +96,13 @@
 // clear clears the crashes that an answer at the time at disproves. It reports whether it
 // cleared any.
 func (p *part) clear(at time.Time) bool {
-	any := false
+	cleared := false
 	for i := range p.crashes {
 		if c := &p.crashes[i]; !c.cleared && !c.at.After(at) {
-			c.cleared, any = true, true
+			c.cleared, cleared = true, true
 		}
 	}
-	return any
+	return cleared
 }
 
 // open returns the number of crashes that are not cleared.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -87,13 +87,13 @@
 	return cn, nil
 }
 
-// refusalTimeout limits the check whether an address refuses connections.
-const refusalTimeout = 100 * time.Millisecond
+// refusalCheckTimeout limits the check whether an address refuses connections.
+const refusalCheckTimeout = 100 * time.Millisecond
 
 // RefusesConnections reports whether no process accepts connections at an address. It
 // returns false if the address does not respond.
 func (c *Client) RefusesConnections(address string) bool {
-	raw, err := net.DialTimeout("tcp", address, refusalTimeout)
+	raw, err := net.DialTimeout("tcp", address, refusalCheckTimeout)
 	if err != nil {
 		c.metrics.dialFailed.Inc()
 		return errors.Is(err, syscall.ECONNREFUSED)
