A higher limit of a cold target applies a window after the members changed

Cause: where not every instance may call a cold target, a stop selects another instance in place of the one that has just used its share, so that both may call within one second. Evidence: by the code before, the spec's second list gave a limit of 2 at once; it is 0 for a window now. Package specs pass.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -477,7 +477,7 @@
 			c := allowance.NewColdLimiter(allowance.ColdBounds{Overshoot: 1.5, Slack: 5}, start.Add(-time.Hour))
 			sum := 0
 			for _, self := range members {
-				sum += c.CallsPerWindow("target", rate, self, members)
+				sum += c.CallsPerWindow("target", rate, self, members, start)
 			}
 			if float64(sum) > rate*1.5+5 || sum == 0 {
 				t.Fatalf("limits of %d instances add up to %d calls, allowed are %.1f", n, sum, rate*1.5+5)
@@ -496,6 +496,32 @@
 		Expect(c.Take("t", 2, start.Add(1200*time.Millisecond))).To(BeTrue())
 	})
 
+	// Guards against more calls in a second than a cold target bears: an instance had used its
+	// share and left, and another one was selected in its place at once.
+	It("uses a higher limit only a window after the members have changed", func() {
+		c := allowance.NewColdLimiter(allowance.ColdBounds{Overshoot: 1, Slack: 2}, start.Add(-time.Hour))
+		all := []string{"i1", "i2", "i3"}
+		limit := func(self string, members []string, at time.Time) int {
+			return c.CallsPerWindow("t", 2, self, members, at)
+		}
+		// A rate of 2 and a slack of 2 let two of three instances send two calls each.
+		var unselected string
+		var others []string
+		for _, self := range all {
+			if limit(self, all, start) == 0 {
+				unselected = self
+			} else {
+				others = append(others, self)
+			}
+		}
+		Expect(others).To(HaveLen(2))
+		remaining := []string{unselected, others[0]}
+		slices.Sort(remaining)
+		Expect(limit(unselected, remaining, start.Add(500*time.Millisecond))).To(BeZero())
+		Expect(limit(others[0], remaining, start.Add(time.Second))).To(Equal(2))
+		Expect(limit(unselected, remaining, start.Add(1700*time.Millisecond))).To(Equal(2))
+	})
+
 	// Guards against an instance that sends its share of a second twice: it was stopped and
 	// started again within that second.
 	It("allows no call to a cold target within a window of the start of the instance", func() {
--- a/internal/allowance/window.go
+++ b/internal/allowance/window.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -117,6 +118,15 @@
 	// used its limits.
 	startedAt time.Time
 	targets   map[string]*window
+	// members are those of the last CallsPerWindow, former those that applied within the
+	// last window.
+	members []string
+	former  []formerMembers
+}
+
+type formerMembers struct {
+	members []string
+	until   time.Time
 }
 
 // NewColdLimiter returns a limiter of an instance that started at the time startedAt. It
@@ -132,8 +142,27 @@
 
 // CallsPerWindow returns how many calls in a window self may send to a target that
 // can serve rate calls a second. If there are not enough for all members, it selects
-// some of them. All instances with the same list of members select the same ones.
-func (c *ColdLimiter) CallsPerWindow(target string, rate float64, self string, members []string) int {
+// some of them. All instances with the same list of members select the same ones. After a
+// change of the members the least limit of the last window applies, because a member that
+// is gone or no longer selected may just have used its own.
+func (c *ColdLimiter) CallsPerWindow(target string, rate float64, self string, members []string, now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !slices.Equal(members, c.members) {
+		if c.members != nil {
+			c.former = append(c.former, formerMembers{c.members, now})
+		}
+		c.members = slices.Clone(members)
+	}
+	c.former = slices.DeleteFunc(c.former, func(f formerMembers) bool { return now.Sub(f.until) >= coldWindow })
+	limit := c.callsPerWindow(target, rate, self, members)
+	for _, f := range c.former {
+		limit = min(limit, c.callsPerWindow(target, rate, self, f.members))
+	}
+	return limit
+}
+
+func (c *ColdLimiter) callsPerWindow(target string, rate float64, self string, members []string) int {
 	total := int(rate*c.bounds.Overshoot + c.bounds.Slack)
 	if total >= coldCallsPerInstance*len(members) {
 		return total / max(1, len(members))
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -164,7 +164,7 @@
 	if !f.Members.AllKnown() {
 		return 0
 	}
-	return f.Cold.CallsPerWindow(targetID, service.ColdRate, f.Members.Self(), f.Members.Names())
+	return f.Cold.CallsPerWindow(targetID, service.ColdRate, f.Members.Self(), f.Members.Names(), f.Now())
 }
 
 // mayBeCold reports whether a target may be in its cold start: as announced, because its
