Specs of gateways listen on an address of their process alone

The address now depends on the process, so that no connection of another one, which begins at 127.0.0.1, can take the port.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,9 +26,11 @@
 	"github.com/dotterellink/dotterellink/platform"
 )
 
-// freeAddress returns an address on which nothing listens.
+// freeAddress returns an address at which nothing listens. Its IP address is of this process
+// alone: the port could otherwise become that of another process's connection before it is
+// listened on.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 128+os.Getpid()>>8&63, os.Getpid()&255))
 	Expect(err).NotTo(HaveOccurred())
 	defer l.Close()
 	return l.Addr().String()
