--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,7 @@
 	fetchingState atomic.Bool
 	peerVersions  peerVersions
 	registration  registration
+	storedParts   quarantineStore
 	notices       noticeMetrics
 	// leavingChanged is set if a target said that it leaves since the last status.
 	leavingChanged atomic.Bool
@@ -180,13 +181,13 @@
 		Leases: g.leases, ReachableZones: g.exchange.ReachableZones, Operator: g.deps.Operator, Fleet: g.fleet, Catalog: g.catalog, Demand: g.demand,
 		View: g.view, Node: g.node, Log: g.log, Metrics: g.registry, TriggerBroadcast: g.exchange.TriggerBroadcast,
 		Work:     func(id string) time.Duration { return g.dispatcher.Waiting(id, time.Now()) },
-		OnNotice: g.onNotice, Quiet: func(id string) bool { return g.dispatcher.QuietFor(id, time.Now()) > 0 },
+		OnNotice: g.onNotice, OnRestart: g.onRestart, Quiet: func(id string) bool { return g.dispatcher.QuietFor(id, time.Now()) > 0 },
 	})
 }
 
 func (g *Gateway) wireServer() {
 	b := g.settings.Bounds
-	g.cold = allowance.NewColdLimiter(allowance.ColdBounds{Overshoot: b.ColdOvershoot, Slack: b.ColdSlack})
+	g.cold = allowance.NewColdLimiter(allowance.ColdBounds{Overshoot: b.ColdOvershoot, Slack: b.ColdSlack}, g.startedAt)
 	g.server = passthrough.NewServer(passthrough.Dependencies{
 		Zone: g.settings.Zone, Dialect: g.deps.Dialect, Catalog: g.catalog, Fleet: g.fleet, Dispatcher: g.dispatcher,
 		Upstream: g.client, Quota: g.quota,
