--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 	"cut-watches":   cutWatches,
 	"long-cut":      longCut,
 	"old-members":   oldMembers,
+	"paused":        pausedMachine,
 }
 
 func main() {
@@ -399,3 +400,37 @@
 	say(w, "RECOVER: %.3f of the requests were served before, %.3f of those sent later than 12 s after the machines were back; the store lists %d members, 4 machines run", first, then, len(w.store.names("members")))
 	return first >= 0.25 && then < 0.25
 }
+
+// pausedMachine: single machines stand still for 4.8 s while a tenant asks more than its rate.
+func pausedMachine(w *world, trouble bool) bool {
+	const rate = 105500.0
+	machines := small(w)
+	for i := range 12 {
+		w.startRunner(fmt.Sprintf("i-%08x", 0x7f3a0000+i), "huvo11a", "ro-nord-"+string("abc"[i%3]), 64, 0, "daka510000")
+	}
+	w.configure(config{
+		Version: 7,
+		Routes: []map[string]any{{
+			"Name": "r-nr26tta", "Hostname": routeHost, "PathPrefix": "/lohu930/", "Kind": "streaming", "TimeoutMs": 5000, "TargetLatencyMs": 800,
+			"Priority": 1, "Service": "huvo11a", "MaxAttempts": 1, "Anonymous": false, "Sticky": true, "Resumable": false, "GapAimMs": 300,
+		}},
+		Services: []map[string]any{modelService("huvo11a", "daka510000")},
+		Tenants:  []map[string]any{tenant("hule930", "i9n73hh2b9wu3fexd9dn", rate)},
+	})
+	w.startMachines(machines)
+	time.Sleep(4 * time.Second)
+	if trouble {
+		go func() {
+			for i := range 6 {
+				time.Sleep(3 * time.Second)
+				m := machines[i%len(machines)]
+				m.signal(syscall.SIGSTOP)
+				time.Sleep(4800 * time.Millisecond)
+				m.signal(syscall.SIGCONT)
+			}
+		}()
+	}
+	w.press(50, 50*time.Second, machines, request{method: "POST", path: "/lohu930/2f", key: "i9n73hh2b9wu3fexd9dn", model: "daka510000", usage: "9190,50", deadline: 5 * time.Second, body: []byte("draft\n")})
+	w.settle()
+	return w.checkQuota("hule930", rate, w.started, time.Now())
+}
