Answers are read for the request rate that their target takes; changes are logged and counted

The rate is decoded (a positive number; anything else counts as unreadable), each change is one log line, and two metrics count them. Nothing acts on it yet. A missing limit counts only in answers that are certainly of the target: not in one with status 421, which another target at the address may have made.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -92,8 +92,28 @@
 	// RetryAfter is how long the target, which is overloaded, wants no further request from
 	// this instance; 0 if it did not say.
 	RetryAfter time.Duration
+	// Rate says whether the target limits its request rate. If it is RateNamed, RatePerSecond
+	// is the limit, in requests a second from all instances together.
+	Rate          RateStatement
+	RatePerSecond float64
 }
 
+// RateStatement is what an answer says about the request rate that its target takes.
+type RateStatement int
+
+// Statements about a request rate.
+const (
+	// RateUnknown means that the answer may not be of the target, so that a missing limit
+	// says nothing.
+	RateUnknown RateStatement = iota
+	// RateUnlimited means that the target names no limit.
+	RateUnlimited
+	// RateNamed means that the target names a limit.
+	RateNamed
+	// RateUnreadable means that the target names a limit that is no number of requests.
+	RateUnreadable
+)
+
 // Dialect translates between HTTP messages and calls.
 type Dialect interface {
 	// Decode reads the head of a caller's request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,7 @@
 	registration  registration
 	storedParts   quarantineStore
 	notices       noticeMetrics
+	rates         *rateObserver
 	// leavingChanged is set if a target said that it leaves since the last status.
 	leavingChanged atomic.Bool
 	startedAt      time.Time
@@ -138,6 +139,7 @@
 	g.quota.Suspend()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.client, g.notices = upstream.NewClient(registry), newNoticeMetrics(registry)
+	g.rates = newRateObserver(logger, registry)
 	g.quarantine = quarantine.NewTracker(logger, registry)
 	g.store = newStoreState(d.Source, g.catalog, g.fleet, g.dispatcher, d.Eras, logger)
 	g.wireMesh()
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -34,6 +34,7 @@
 		g.exchange.TriggerBroadcast()
 		g.log.WithFields(log.Fields{"target": t.ID, "zone": t.Zone, "born_ms": t.BornMS}).Info("gateway: Target leaves, as its answer says.")
 	}
+	g.rates.observe(t, n)
 	if n.RetryAfter > 0 {
 		g.notices.quiet.Inc()
 		taken := g.dispatcher.Quiet(t.ID, n.RetryAfter, now)
