The division of a shared bound over the instances is a type of its own

No change of behaviour: the rendezvous order and the rule that former lists of members apply for one more window leave ColdLimiter, so that other bounds can be divided in the same way. The specs of allowance pass as before.

--- a/internal/allowance/window.go
+++ b/internal/allowance/window.go
@@ -2,11 +2,8 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // window counts the events within the last span.
@@ -118,21 +115,13 @@
 	// used its limits.
 	startedAt time.Time
 	targets   map[string]*window
-	// members are those of the last CallsPerWindow, former those that applied within the
-	// last window.
-	members []string
-	former  []formerMembers
-}
-
-type formerMembers struct {
-	members []string
-	until   time.Time
+	division  division
 }
 
 // NewColdLimiter returns a limiter of an instance that started at the time startedAt. It
 // allows no call to a cold target within the first window.
 func NewColdLimiter(b ColdBounds, startedAt time.Time) *ColdLimiter {
-	return &ColdLimiter{bounds: b, startedAt: startedAt, targets: make(map[string]*window)}
+	return &ColdLimiter{bounds: b, startedAt: startedAt, targets: make(map[string]*window), division: division{span: coldWindow}}
 }
 
 // firstWindowLeft returns how much is left of the first window, 0 or less if it is over.
@@ -148,18 +137,8 @@
 func (c *ColdLimiter) CallsPerWindow(target string, rate float64, self string, members []string, now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !slices.Equal(members, c.members) {
-		if c.members != nil {
-			c.former = append(c.former, formerMembers{c.members, now})
-		}
-		c.members = slices.Clone(members)
-	}
-	c.former = slices.DeleteFunc(c.former, func(f formerMembers) bool { return now.Sub(f.until) >= coldWindow })
-	limit := c.callsPerWindow(target, rate, self, members)
-	for _, f := range c.former {
-		limit = min(limit, c.callsPerWindow(target, rate, self, f.members))
-	}
-	return limit
+	c.division.update(members, now)
+	return c.division.smallest(func(members []string) int { return c.callsPerWindow(target, rate, self, members) })
 }
 
 func (c *ColdLimiter) callsPerWindow(target string, rate float64, self string, members []string) int {
@@ -167,23 +146,12 @@
 	if total >= coldCallsPerInstance*len(members) {
 		return total / max(1, len(members))
 	}
-	selected := max(1, total/coldCallsPerInstance)
-	ahead := 0
-	ownRank := rank(target, self)
-	for _, m := range members {
-		if r := rank(target, m); m != self && (r > ownRank || r == ownRank && m < self) {
-			ahead++
-		}
-	}
-	if ahead >= selected {
+	if position(target, self, members) >= max(1, total/coldCallsPerInstance) {
 		return 0
 	}
 	return min(coldCallsPerInstance, max(1, total))
 }
 
-// rank orders instances for a target (rendezvous hashing).
-func rank(target, instance string) uint64 { return xxhash.Sum64String(target + "\x00" + instance) }
-
 // HasCapacity reports whether a call may be sent now within the instance's limit:
 // never, if the limit is not above 0.
 func (c *ColdLimiter) HasCapacity(target string, limit int, now time.Time) bool {
