Specs take listening ports in turn, below those of outgoing connections

Once, a spec of the named limits failed as an instance could not listen on an address that had been free a moment before. The text of the error was not kept, so that the cause is not known. A port that is given out is now neither given out again nor one of a connection.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -26,14 +26,26 @@
 	"github.com/dotterellink/dotterellink/platform"
 )
 
+// listenPorts counts the ports that freeAddress has tried. They are below those of outgoing
+// connections, and none is used twice.
+var listenPorts atomic.Int32
+
+const firstListenPort, lastListenPort = 10_000, 32_000
+
 // freeAddress returns an address at which nothing listens. Its IP address is of this process
-// alone: the port could otherwise become that of another process's connection before it is
-// listened on.
+// alone, and its port never that of a connection: either could otherwise be taken before it
+// is listened on.
 func freeAddress() string {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 128+os.Getpid()>>8&63, os.Getpid()&255))
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		port := firstListenPort + int(listenPorts.Add(1))
+		Expect(port).To(BeNumerically("<", lastListenPort))
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:%d", 128+os.Getpid()>>8&63, os.Getpid()&255, port))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
 }
 
 // instance is one gateway under test.
