LIMIT: the request rate that a target names is divided over all instances

Callers saw refusals and slow answers of targets in need, which got up to fifty times the rate that they had named. Cause: no instance read the rate; that one instance alone told on each answer exceeded it, and that the rate at the target didn't change, rules the other hypotheses out as the cause. Reports and orders count besides: 14 requests with nine calls.

Calls, retries, continued streams and the successors of stalled calls take from the part; reports and orders from a part of their own. Half of a part is kept for urgent calls while there are any. A limit ends with an answer to a call that was sent after the last one that named it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,7 +114,7 @@
 	registration  registration
 	storedParts   quarantineStore
 	notices       noticeMetrics
-	rates         *rateObserver
+	rates         *targetRates
 	// leavingChanged is set if a target said that it leaves since the last status.
 	leavingChanged atomic.Bool
 	startedAt      time.Time
@@ -139,10 +139,12 @@
 	g.quota.Suspend()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.client, g.notices = upstream.NewClient(registry), newNoticeMetrics(registry)
-	g.rates = newRateObserver(logger, registry)
 	g.quarantine = quarantine.NewTracker(logger, registry)
 	g.store = newStoreState(d.Source, g.catalog, g.fleet, g.dispatcher, d.Eras, logger)
 	g.wireMesh()
+	g.rates = newTargetRates(allowance.NewTargetRates(allowance.RateBounds{
+		Window: seconds(s.Bounds.TargetRateWindowSeconds), Overshoot: s.Bounds.TargetRateOvershoot, Slack: s.Bounds.TargetRateSlack,
+	}, members{g.exchange, g}, g.startedAt), logger, registry)
 	g.store.wire(followerConfig{objects: d.Objects, watching: g.watching, leading: g.leading, relay: g.relay})
 	g.wireResidency()
 	g.registration.eras = d.Eras
@@ -160,12 +162,13 @@
 	g.exchange.FillStatus, g.exchange.OnStatus, g.exchange.OnRunEnded = g.fillStatus, g.onStatus, g.onRunEnded
 	g.quarantine.OnChange = g.exchange.TriggerBroadcast
 	g.exchange.HasUpdates = func() bool {
-		return g.dispatcher.Pending() || g.controller.Pending() || g.quarantine.Pending()
+		return g.dispatcher.Pending() || g.controller.Pending() || g.quarantine.Pending() || g.rates.limits.Pending()
 	}
 	mesh.Handle(g.node, methodSnapshot, func(ctx context.Context, from mesh.Peer, r *snapshotRequest) (*snapshot, error) {
 		out, err := g.store.handleSnapshot(ctx, from, r)
 		if err == nil {
 			out.Levels = g.quota.Levels(time.Now())
+			out.Rates = g.rates.limits.Updates(true, time.Now())
 			out.Suspicions = append(g.quarantine.All(time.Now()), g.quarantine.Requests(time.Now())...)
 		}
 		return out, err
@@ -185,7 +188,8 @@
 		Leases: g.leases, ReachableZones: g.exchange.ReachableZones, Operator: g.deps.Operator, Fleet: g.fleet, Catalog: g.catalog, Demand: g.demand,
 		View: g.view, Node: g.node, Log: g.log, Metrics: g.registry, TriggerBroadcast: g.exchange.TriggerBroadcast,
 		Work:     func(id string) time.Duration { return g.dispatcher.Waiting(id, time.Now()) },
-		OnNotice: g.onNotice, OnRestart: g.onRestart, Quiet: func(id string) bool { return g.dispatcher.QuietFor(id, time.Now()) > 0 },
+		OnNotice: g.onControlNotice, OnRestart: g.onRestart, Quiet: func(id string) bool { return g.dispatcher.QuietFor(id, time.Now()) > 0 },
+		Admit: func(id string) bool { return g.rates.limits.TakeControl(id, time.Now()) },
 	})
 }
 
@@ -196,8 +200,8 @@
 		Zone: g.settings.Zone, Dialect: g.deps.Dialect, Catalog: g.catalog, Fleet: g.fleet, Dispatcher: g.dispatcher,
 		Upstream: g.client, Quota: g.quota,
 		Retries: allowance.NewRetryBudget(allowance.RetryBounds{Window: seconds(b.RetryWindowSeconds), Ratio: b.RetryRatio, Slack: b.RetrySlack}),
-		Cold:    g.cold, Quarantine: g.quarantine, Trials: newTrials(g),
-		Residency: placement{g}, Members: members{g.exchange, g}, TargetsConfirmed: g.store.confirmed.Load, OnNotice: g.onNotice,
+		Cold:    g.cold, Rates: g.rates.limits, Quarantine: g.quarantine, Trials: newTrials(g),
+		Residency: placement{g}, Members: members{g.exchange, g}, TargetsConfirmed: g.store.confirmed.Load, OnNotice: g.onCallNotice,
 		Log: g.log, Tracer: g.deps.Tracing.Tracer,
 		Metrics: g.registry, Now: time.Now,
 	})
@@ -327,6 +331,7 @@
 		g.dispatcher.Forget(listed, now)
 		g.view.Prune(listed)
 		g.cold.Prune(listed, now)
+		g.rates.prune(listed, now)
 		g.quarantine.Prune(now)
 		g.shareQuota(now)
 		g.trackAccounts(now)
--- a/internal/gateway/introduce.go
+++ b/internal/gateway/introduce.go
@@ -161,6 +161,7 @@
 	}
 	g.trackAccounts(now)
 	g.quota.Adopt(s.Levels, now)
+	g.rates.limits.Apply(s.Rates, now)
 	g.quarantine.Merge(s.Suspicions, now)
 	return time.Duration(s.AgeMS) * time.Millisecond, true
 }
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -34,7 +34,6 @@
 		g.exchange.TriggerBroadcast()
 		g.log.WithFields(log.Fields{"target": t.ID, "zone": t.Zone, "born_ms": t.BornMS}).Info("gateway: Target leaves, as its answer says.")
 	}
-	g.rates.observe(t, n)
 	if n.RetryAfter > 0 {
 		g.notices.quiet.Inc()
 		taken := g.dispatcher.Quiet(t.ID, n.RetryAfter, now)
@@ -44,6 +43,18 @@
 	}
 }
 
+// onCallNotice applies what the answer to a call says about the target that made it.
+func (g *Gateway) onCallNotice(t *fleet.Target, n call.Notice, sentAt time.Time) {
+	g.onNotice(t, n)
+	g.rates.observe(t, n, sentAt, false)
+}
+
+// onControlNotice applies what the answer to a report or an order says about the target.
+func (g *Gateway) onControlNotice(t *fleet.Target, n call.Notice, sentAt time.Time) {
+	g.onNotice(t, n)
+	g.rates.observe(t, n, sentAt, true)
+}
+
 // onRestart records that a target started anew, which its announcement does not show yet:
 // it is cold, and peers that did not read its report do not know.
 func (g *Gateway) onRestart(t *fleet.Target) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -77,6 +77,12 @@
 	QuotaWindowSeconds float64 `json:"quota_window_seconds"`
 	QuotaOvershoot     float64 `json:"quota_overshoot"`
 	QuotaSlack         float64 `json:"quota_slack"`
+	// TargetRateOvershoot and TargetRateSlack raise the limit on what a target gets in a
+	// window of TargetRateWindowSeconds that names a request rate. TargetRateSlack is in
+	// requests.
+	TargetRateWindowSeconds float64 `json:"target_rate_window_seconds"`
+	TargetRateOvershoot     float64 `json:"target_rate_overshoot"`
+	TargetRateSlack         float64 `json:"target_rate_slack"`
 	// OrderGapMS is the minimum time between orders of two instances to one target, in
 	// milliseconds.
 	OrderGapMS float64 `json:"order_gap_ms"`
@@ -90,6 +96,7 @@
 		Bounds: Bounds{
 			RetryRatio: 0.1, RetryWindowSeconds: 10,
 			ColdOvershoot: 1, ColdSlack: 0, OrderGapMS: 3000,
+			TargetRateWindowSeconds: 4, TargetRateOvershoot: 1.5, TargetRateSlack: 5,
 		},
 	}
 }
@@ -141,6 +148,9 @@
 	check(s.Bounds.QuotaWindowSeconds >= 0, "bounds.quota_window_seconds: must not be negative")
 	check(s.Bounds.QuotaOvershoot >= 0, "bounds.quota_overshoot: must not be negative")
 	check(s.Bounds.QuotaSlack >= 0, "bounds.quota_slack: must not be negative")
+	check(s.Bounds.TargetRateWindowSeconds > 0, "bounds.target_rate_window_seconds: must be above 0")
+	check(s.Bounds.TargetRateOvershoot >= 1, "bounds.target_rate_overshoot: must be at least 1")
+	check(s.Bounds.TargetRateSlack >= 0, "bounds.target_rate_slack: must not be negative")
 	check(s.Bounds.OrderGapMS >= 0, "bounds.order_gap_ms: must not be negative")
 	return out
 }
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -27,6 +27,8 @@
 	AgeMS int64 `msgpack:"a"`
 	// Levels are what the peer believes to be left of the accounts' units.
 	Levels []allowance.AccountLevel `msgpack:"q,omitempty"`
+	// Rates are the request rates that targets name.
+	Rates []allowance.RateUpdate `msgpack:"r,omitempty"`
 	// Departed are the targets that leave or have left, as the peer knows.
 	Departed []fleet.Departed `msgpack:"d,omitempty"`
 	// MayBeCold are the targets that may have become cold without announcing it.
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -60,7 +60,7 @@
 	response := t.response
 	defer response.Close()
 	outcome := f.Dialect.Outcome(response.Status, response.Header)
-	f.OnNotice(t.pick.Target, outcome.Notice)
+	f.OnNotice(t.pick.Target, outcome.Notice, t.sentAt)
 	switch {
 	case outcome.NotRun:
 		return f.attemptRejected(t.ticket, watch, response, outcome)
@@ -126,6 +126,7 @@
 		}
 		f.connectFailures++
 		ticket.End(dispatch.Unreachable, f.Now())
+		f.Rates.Return(ticket.TargetID(), f.Now())
 		f.suspectRestart(ticket.TargetID(), err)
 		f.metrics.attempts.WithLabelValues("unreachable").Inc()
 		f.logAttempt("unreachable", err)
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -25,12 +26,12 @@
 // call used up the limit of a cold target in the meantime.
 const maxPicks = 3
 
-// pick returns the target for the next attempt and counts the call against the limit
-// of a cold target. If there is no target, it answers the call and returns false.
+// pick returns the target for the next attempt and counts the call against the limits of
+// the target. If there is no target, it answers the call and returns false.
 func (f *forwarder) pick(ctx context.Context) (dispatch.Pick, bool) {
 	for range maxPicks {
 		pick, ok := f.decide(ctx)
-		if !ok || f.reserveColdCall(pick) {
+		if !ok || f.reserveCall(pick) {
 			return pick, ok
 		}
 	}
@@ -38,10 +39,22 @@
 	return dispatch.Pick{}, false
 }
 
-// reserveColdCall counts the call at the target. It returns false if the target may
-// be cold and this instance has used up its share.
-func (f *forwarder) reserveColdCall(pick dispatch.Pick) bool {
+// reserveCall counts the call at the target. It returns false if this instance has used up
+// its part of the rate that the target takes, or of the calls that a cold target may get.
+func (f *forwarder) reserveCall(pick dispatch.Pick) bool {
 	now := f.Now()
+	if !f.Rates.Take(pick.Target.ID, f.urgency(), now) {
+		return false
+	}
+	if f.reserveColdCall(pick, now) {
+		return true
+	}
+	f.Rates.Return(pick.Target.ID, now)
+	return false
+}
+
+// reserveColdCall counts the call against the limit of a cold target.
+func (f *forwarder) reserveColdCall(pick dispatch.Pick, now time.Time) bool {
 	service := f.state.Services[f.service]
 	share := -1 // A negative share means that the target is warm.
 	if f.mayBeCold(pick.Target, service, now) {
@@ -57,7 +70,7 @@
 		f.giveUp("no_service", noTargetRetryAfter)
 		return dispatch.Pick{}, false
 	}
-	candidates, wait := f.candidates(service)
+	candidates, limit := f.candidates(service)
 	if len(candidates) == 0 {
 		f.noTarget()
 		return dispatch.Pick{}, false
@@ -66,10 +79,7 @@
 	pick, ok := f.Dispatcher.Pick(candidates, f.query(service, now))
 	if !ok {
 		f.logNoTargetFree(candidates)
-		if wait == 0 {
-			wait = noTargetRetryAfter
-		}
-		f.giveUp("no_target_free", wait)
+		f.giveUp("no_target_free", f.limitedFor(limit, now))
 		return dispatch.Pick{}, false
 	}
 	// Work that is refused counts too: it shows that the model needs more copies.
@@ -119,18 +129,37 @@
 	return q
 }
 
-// candidates returns the targets that hold the model of the call. It also returns the
-// shortest wait for a target that is limited by its cold start or wants no requests for
-// now, zero if there is none.
-func (f *forwarder) candidates(service *catalog.Service) ([]dispatch.Candidate, time.Duration) {
+// limitation is the shortest wait for a target that must not get a call now, because of its
+// cold start or its request rate, or because it wants no requests for a while.
+type limitation struct {
+	// wait is 0 if there is no such target.
+	wait time.Duration
+	// rateOf is the ID of the target if its request rate is the reason.
+	rateOf string
+}
+
+// limitedFor returns when the caller of a refused call should come back.
+func (f *forwarder) limitedFor(l limitation, now time.Time) time.Duration {
+	switch {
+	case l.wait == 0:
+		return noTargetRetryAfter
+	case l.rateOf != "":
+		return max(l.wait, f.Rates.ReturnAfter(l.rateOf, f.urgency(), now))
+	}
+	return l.wait
+}
+
+// candidates returns the targets that hold the model of the call, and the shortest wait for
+// one that is limited.
+func (f *forwarder) candidates(service *catalog.Service) ([]dispatch.Candidate, limitation) {
 	now := f.Now()
 	names := f.Members.Names()
 	maxOpen := max(1, int(connectionShare*float64(service.MaxConnections))/max(1, len(names)))
 	var out []dispatch.Candidate
-	var wait time.Duration
-	limitedFor := func(w time.Duration) {
-		if w > 0 && (wait == 0 || w < wait) {
-			wait = w
+	var limit limitation
+	limitedBy := func(wait time.Duration, rateOf string) {
+		if wait > 0 && (limit.wait == 0 || wait < limit.wait) {
+			limit = limitation{wait, rateOf}
 		}
 	}
 	for _, t := range f.Fleet.View().Holders(f.service, f.call.Model) {
@@ -145,16 +174,38 @@
 			share := f.coldShare(t.ID, service)
 			if !f.Cold.HasCapacity(t.ID, share, now) {
 				c.Limited = true
-				limitedFor(f.Cold.TimeToCapacity(t.ID, share, now))
+				limitedBy(f.Cold.TimeToCapacity(t.ID, share, now), "")
 			}
 		}
 		if left := f.Dispatcher.QuietFor(t.ID, now); left > 0 {
 			c.Limited = true
-			limitedFor(left)
+			limitedBy(left, "")
+		}
+		if left := f.Rates.Wait(t.ID, f.urgency(), now); left > 0 {
+			c.Limited = true
+			limitedBy(left, t.ID)
 		}
 		out = append(out, c)
 	}
-	return out, wait
+	f.avoidAdapterOrders(out)
+	return out, limit
+}
+
+// avoidAdapterOrders leaves targets out that limit their request rate and lack the adapter
+// of the call, if another one can take the call. The order to load it counts as a request.
+func (f *forwarder) avoidAdapterOrders(list []dispatch.Candidate) {
+	if f.call.Adapter == "" {
+		return
+	}
+	isFree := func(c dispatch.Candidate) bool {
+		return !c.Limited && !f.excluded[c.Target.ID] && !(c.NeedsAdapter && f.Rates.Limited(c.Target.ID))
+	}
+	if !slices.ContainsFunc(list, isFree) {
+		return
+	}
+	for i, c := range list {
+		list[i].Limited = c.Limited || !isFree(c)
+	}
 }
 
 // coldShare returns the number of calls per window that this instance may send to a
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -93,6 +93,7 @@
 	Quota      *allowance.Quota
 	Retries    *allowance.RetryBudget
 	Cold       *allowance.ColdLimiter
+	Rates      *allowance.TargetRates
 	Quarantine *quarantine.Tracker
 	// Trials may be nil: no trial is granted then.
 	Trials    Trials
@@ -101,8 +102,9 @@
 	// TargetsConfirmed reports whether the list of targets was confirmed since the start of
 	// this instance, by the store or by the watcher.
 	TargetsConfirmed func() bool
-	// OnNotice is called with what an answer of a target says about the target.
-	OnNotice func(t *fleet.Target, n call.Notice)
+	// OnNotice is called with what an answer of a target says about the target, and when the
+	// call was sent.
+	OnNotice func(t *fleet.Target, n call.Notice, sentAt time.Time)
 	Log      log.Interface
 	Tracer   trace.Tracer
 	Metrics  prometheus.Registerer
--- a/internal/passthrough/stall.go
+++ b/internal/passthrough/stall.go
@@ -178,6 +178,7 @@
 	switch {
 	case result == dispatch.Unreachable:
 		w.unreachable++
+		f.Rates.Return(t.pick.Target.ID, now)
 		f.suspectRestart(t.pick.Target.ID, t.err)
 	case result == dispatch.Failed:
 		w.runs++
@@ -208,7 +209,7 @@
 		return dispatch.Failed
 	}
 	outcome := f.Dialect.Outcome(t.response.Status, t.response.Header)
-	f.OnNotice(t.pick.Target, outcome.Notice)
+	f.OnNotice(t.pick.Target, outcome.Notice, t.sentAt)
 	switch {
 	case outcome.NotRun && outcome.WrongTarget:
 		return dispatch.NotHeld
@@ -284,8 +285,8 @@
 		candidates[i].Limited = c.Limited || c.NeedsAdapter || c.ZoneUnreachable || w.tried[c.Target.ID]
 	}
 	pick, ok := f.Dispatcher.Pick(candidates, f.query(service, now))
-	// The bound of a cold target is taken last: it has no way back.
-	if !ok || pick.Down || pick.Expected > f.firstAnswerBudget(now) || !f.spendRetry(now) || !f.reserveColdCall(pick) {
+	// The bounds of the target are taken last: that of a cold one has no way back.
+	if !ok || pick.Down || pick.Expected > f.firstAnswerBudget(now) || !f.spendRetry(now) || !f.reserveCall(pick) {
 		return dispatch.Pick{}, false
 	}
 	return pick, true
--- a/internal/passthrough/standins_test.go
+++ b/internal/passthrough/standins_test.go
@@ -168,8 +168,9 @@
 		Quota:   allowance.NewQuota(allowance.QuotaBounds{}, time.Now().Add(-time.Hour)),
 		Retries: allowance.NewRetryBudget(allowance.RetryBounds{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}),
 		Cold:    allowance.NewColdLimiter(allowance.ColdBounds{Overshoot: 1, Slack: 2}, time.Now().Add(-time.Hour)), Quarantine: tracker, Residency: residency, Members: singleInstance{},
+		Rates:            allowance.NewTargetRates(allowance.RateBounds{Window: 4 * time.Second, Overshoot: 1.5, Slack: 5}, singleInstance{}, time.Now().Add(-time.Hour)),
 		TargetsConfirmed: func() bool { return true },
-		OnNotice: func(t *fleet.Target, n call.Notice) {
+		OnNotice: func(t *fleet.Target, n call.Notice, _ time.Time) {
 			if n.Leaving {
 				table.MarkLeaving(t.ID, t.BornMS, time.Now())
 			}
--- a/internal/passthrough/try.go
+++ b/internal/passthrough/try.go
@@ -87,16 +87,21 @@
 }
 
 func (f *forwarder) attemptInfo(pick dispatch.Pick, remaining time.Duration, lastEventID string) call.Attempt {
-	a := call.Attempt{TargetID: pick.Target.ID, Remaining: remaining, Urgency: f.route.Priority, LastEventID: lastEventID}
+	a := call.Attempt{TargetID: pick.Target.ID, Remaining: remaining, Urgency: f.urgency(), LastEventID: lastEventID}
 	if f.account != nil {
 		a.Account = f.account.Name
-		if f.account.Priority != nil {
-			a.Urgency = *f.account.Priority
-		}
 	}
 	return a
 }
 
+// urgency returns the priority of the call, 0 goes first.
+func (f *forwarder) urgency() int {
+	if f.account != nil && f.account.Priority != nil {
+		return *f.account.Priority
+	}
+	return f.route.Priority
+}
+
 func (f *forwarder) logSend(pick dispatch.Pick, number int, now time.Time) {
 	f.Log.WithFields(log.Fields{
 		"call": f.call.ID, "route": f.route.Name, "target": pick.Target.ID, "zone": pick.Target.Zone,
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -30,11 +30,13 @@
 	Departing []fleet.Departed `msgpack:"dp,omitempty"`
 
 	// MayBeCold are the targets that may have become cold without announcing it.
-	MayBeCold     []dispatch.ColdSuspicion `msgpack:"mc,omitempty"`
-	Loads         []dispatch.TargetLoad    `msgpack:"ld,omitempty"`
-	PrefixUpdates []dispatch.PrefixUpdate  `msgpack:"rd,omitempty"`
-	Spent         []allowance.Spending     `msgpack:"sp,omitempty"`
-	Demand        []ModelDemand            `msgpack:"dm,omitempty"`
+	MayBeCold []dispatch.ColdSuspicion `msgpack:"mc,omitempty"`
+	// Rates are the request rates that targets name, and those that ended.
+	Rates         []allowance.RateUpdate  `msgpack:"rl,omitempty"`
+	Loads         []dispatch.TargetLoad   `msgpack:"ld,omitempty"`
+	PrefixUpdates []dispatch.PrefixUpdate `msgpack:"rd,omitempty"`
+	Spent         []allowance.Spending    `msgpack:"sp,omitempty"`
+	Demand        []ModelDemand           `msgpack:"dm,omitempty"`
 	// AllCounts is set if Spent and Demand list all accounts and models in use, and not
 	// only those that changed.
 	AllCounts  bool         `msgpack:"ac,omitempty"`
--- a/internal/residency/keeper.go
+++ b/internal/residency/keeper.go
@@ -53,10 +53,11 @@
 	queuedWork     func(id string) time.Duration
 	reachableZones func() map[string]bool
 	// onNotice is called for each answer of a target. quiet reports whether a target wants
-	// no request of this instance for now.
-	onNotice  func(t *fleet.Target, n call.Notice)
+	// no request of this instance for now, admit whether its request rate allows one.
+	onNotice  func(t *fleet.Target, n call.Notice, sentAt time.Time)
 	onRestart func(t *fleet.Target)
 	quiet     func(id string) bool
+	admit     func(id string) bool
 
 	mu      sync.Mutex
 	targets map[string]*managedTarget
@@ -99,12 +100,15 @@
 	Work func(id string) time.Duration
 	// ReachableZones returns the zones that are not cut off from this instance.
 	ReachableZones func() map[string]bool
-	// OnNotice is called with what an answer of a target says about the target.
-	OnNotice func(t *fleet.Target, n call.Notice)
+	// OnNotice is called with what an answer of a target says about the target, and when the
+	// request was sent.
+	OnNotice func(t *fleet.Target, n call.Notice, sentAt time.Time)
 	// OnRestart is called if the report of a target is of another run than the announced one.
 	OnRestart func(t *fleet.Target)
 	// Quiet reports whether a target wants no request of this instance for now.
 	Quiet func(id string) bool
+	// Admit takes one request from the rate of a target, and reports whether it could.
+	Admit func(id string) bool
 }
 
 // NewController returns a Controller and registers the mesh handler for adapter
@@ -112,7 +116,7 @@
 func NewController(config ControllerConfig) *Controller {
 	c := &Controller{
 		leases: config.Leases, reachableZones: config.ReachableZones, operator: config.Operator, fleet: config.Fleet, catalog: config.Catalog, demand: config.Demand, view: config.View,
-		node: config.Node, log: config.Log, now: time.Now, triggerBroadcast: config.TriggerBroadcast, queuedWork: config.Work, onNotice: config.OnNotice, onRestart: config.OnRestart, quiet: config.Quiet,
+		node: config.Node, log: config.Log, now: time.Now, triggerBroadcast: config.TriggerBroadcast, queuedWork: config.Work, onNotice: config.OnNotice, onRestart: config.OnRestart, quiet: config.Quiet, admit: config.Admit,
 		targets: make(map[string]*managedTarget), loadBuckets: make(map[zoneService]*loadBucket), absences: make(map[zoneModel]absence), demandLoggedAt: make(map[zoneService]time.Time), growth: make(map[string]growth), adapterUsedAt: make(map[string]time.Time),
 		metrics: controllerMetrics{
 			orders:  prometheus.NewCounter(prometheus.CounterOpts{Name: "dotterellink_orders_total", Help: "Orders sent to targets."}),
@@ -227,7 +231,7 @@
 	for _, m := range list {
 		m.mu.Lock()
 		age := now.Sub(m.reportRequestedAt)
-		due := !c.quiet(m.id) && (age >= reportInterval || age >= uncertainReportInterval && (!m.hasReport || m.busy || m.move != nil))
+		due := !c.quiet(m.id) && (age >= reportInterval || age >= uncertainReportInterval && (!m.hasReport || m.busy || m.move != nil)) && c.admit(m.id)
 		t := m.target
 		if due {
 			// A failed request is not repeated at once.
@@ -250,7 +254,7 @@
 	requestedAt := c.now()
 	c.metrics.reports.Inc()
 	r, notice, err := c.operator.Report(t.Address, t.ID, reportTimeout)
-	c.onNotice(t, notice)
+	c.onNotice(t, notice, requestedAt)
 	if err != nil {
 		c.log.WithField("target", t.ID).WithError(err).Info("residency: Failed to get report from target.")
 		return
@@ -313,7 +317,7 @@
 // sendOrder requires m.mu. It sends one order if the lease allows it.
 func (c *Controller) sendOrder(m *managedTarget, o call.Order) call.OrderResult {
 	token, ok := c.leases.Zone(m.zone).MayOrder(m.id)
-	if !ok || c.quiet(m.id) {
+	if !ok || c.quiet(m.id) || !c.admit(m.id) {
 		return call.OrderRefused
 	}
 	o.Holder, o.FencingToken = c.node.Self().Name, token
@@ -323,8 +327,9 @@
 	if o.Adapter != "" {
 		timeout = adapterOrderTimeout
 	}
+	sentAt := c.now()
 	result, notice, err := c.operator.Order(m.target.Address, m.target.ID, o, timeout)
-	c.onNotice(m.target, notice)
+	c.onNotice(m.target, notice, sentAt)
 	fields := log.Fields{
 		"target": m.id, "kind": int(o.Kind), "model": o.Model, "adapter": o.Adapter,
 		"expected": o.ExpectedOrders, "token": token, "result": int(result),
--- a/internal/residency/keeper_test.go
+++ b/internal/residency/keeper_test.go
@@ -218,13 +218,14 @@
 			Log: telemetry.Discard(), Metrics: prometheus.NewRegistry(), TriggerBroadcast: func() {},
 			Work:           func(string) time.Duration { return 0 },
 			ReachableZones: func() map[string]bool { return map[string]bool{"z": true} },
-			OnNotice: func(t *fleet.Target, n call.Notice) {
+			OnNotice: func(t *fleet.Target, n call.Notice, _ time.Time) {
 				if n.Leaving {
 					table.MarkLeaving(t.ID, t.BornMS, time.Now())
 				}
 			},
 			OnRestart: func(t *fleet.Target) { restarted.Store(t.ID) },
 			Quiet:     func(id string) bool { return quiet.Load() && id == "t0" },
+			Admit:     func(string) bool { return true },
 		})
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(context.Background())
