--- a/internal/allowance/targetrate.go
+++ b/internal/allowance/targetrate.go
@@ -143,7 +143,7 @@
 	fits := func(holders int, burst float64) bool {
 		return float64(holders)*r.most(effective/float64(holders), burst) <= allowed
 	}
-	for n := members; n > 1; n-- {
+	for n := members; n >= 1; n-- {
 		if burst = 1 + max(1, effective/float64(n)); fits(n, burst) {
 			return n, burst
 		}
@@ -249,8 +249,12 @@
 	return now.Sub(t.confirmedAt) >= delay && now.Sub(t.probedAt) >= probeInterval
 }
 
-// threshold returns the level that the bucket must have for a call of an urgency. Up to
-// half of the bucket, one token at least, is kept for more urgent calls while there are any.
+// minReserve is the number of tokens that are kept for more urgent calls, if the bucket holds
+// as many. Of a larger bucket half is kept.
+const minReserve = 2
+
+// threshold returns the level that the bucket must have for a call of an urgency. A part of
+// the bucket is kept for more urgent calls while there are any.
 func (t *targetRate) threshold(urgency int, now time.Time) float64 {
 	more, others := 0, 0
 	for u, at := range t.askedAt {
@@ -265,7 +269,7 @@
 	if more == 0 {
 		return 1
 	}
-	reserve := min(t.part.burst-1, max(1, (t.part.burst-1)/2))
+	reserve := min(t.part.burst-1, max(minReserve, (t.part.burst-1)/2))
 	return 1 + reserve*float64(more)/float64(others)
 }
 
--- a/internal/gateway/target_rate_fleet_test.go
+++ b/internal/gateway/target_rate_fleet_test.go
@@ -182,6 +182,25 @@
 	return answer
 }
 
+// restart stops instances and begins new runs of them under their names.
+func (f *rateFleet) restart(list ...int) {
+	for _, n := range list {
+		f.instances[n].stop()
+	}
+	for _, n := range list {
+		old := f.instances[n]
+		Eventually(old.done, 10*time.Second).Should(Receive(BeNil()))
+		// The cleanup receives once more.
+		old.done <- nil
+	}
+	for _, n := range list {
+		f.instances[n] = f.start(f.instances[n].settings.Name, f.instances[n].settings.Zone)
+	}
+	for _, n := range list {
+		Eventually(f.instances[n].status("/once/x"), 4*time.Second).Should(Equal(http.StatusOK))
+	}
+}
+
 // load makes calls on a path at all instances in turn until the returned function is used.
 func (f *rateFleet) load(perSecond int, path string, served *tally) (stop func()) {
 	return every(time.Second/time.Duration(perSecond), func(n int) {
--- a/internal/gateway/target_rate_test.go
+++ b/internal/gateway/target_rate_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -44,4 +47,106 @@
 			Expect(t.most(time.Time{})).To(BeNumerically("<=", allowed(1)), t.id)
 		}
 	})
+
+	// Guards against a target that idles although callers wait, and against urgent calls that
+	// are refused while others are served.
+	It("is used up to that, the most urgent calls first, and the rest is refused at once", func() {
+		f := newRateFleet(3, 3)
+		for _, t := range f.targets {
+			t.name("4")
+		}
+		// The parts of the instances are known, and their first window is over.
+		var before, urgent, batch tally
+		stop := f.load(30, "/batch/x", &before)
+		time.Sleep(6 * time.Second)
+		stop()
+		var slowest atomic.Int64
+		began := time.Now()
+		stopUrgent := f.load(5, "/urgent/x", &urgent)
+		stopBatch := every(time.Second/60, func(n int) {
+			defer GinkgoRecover()
+			sent := time.Now()
+			answer := f.call(f.instances[n%3], "/batch/x")
+			if answer == nil {
+				batch.add(0)
+				return
+			}
+			batch.add(answer.StatusCode)
+			if answer.StatusCode != http.StatusOK {
+				Expect(strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)).To(BeNumerically(">", 0))
+				slowest.Store(max(slowest.Load(), int64(time.Since(sent))))
+			}
+		})
+		time.Sleep(10 * time.Second)
+		stopUrgent()
+		stopBatch()
+		sum := 0
+		for _, t := range f.targets {
+			sum += t.since(began)
+			Expect(t.most(time.Time{})).To(BeNumerically("<=", allowed(4)), t.id)
+		}
+		Expect(sum).To(BeNumerically(">=", 0.8*3*4*10))
+		Expect(urgent.share()).To(BeNumerically(">=", 0.9), urgent.String())
+		Expect(batch.share()).To(BeNumerically("<=", 0.3), batch.String())
+		Expect(time.Duration(slowest.Load())).To(BeNumerically("<=", 300*time.Millisecond))
+	})
+
+	// Guards against a limit that outlives the need for it.
+	It("is in full use again within three seconds of the end of the limit", func() {
+		f := newRateFleet(1, 3)
+		f.targets[0].name("0.2")
+		var limited, free tally
+		stop := f.load(30, "/batch/x", &limited)
+		time.Sleep(8 * time.Second)
+		stop()
+		Expect(limited.share()).To(BeNumerically("<=", 0.4), limited.String())
+		f.targets[0].limit.Store(nil)
+		stop = f.load(30, "/batch/x", &limited)
+		time.Sleep(3 * time.Second)
+		stop()
+		stop = f.load(60, "/batch/x", &free)
+		time.Sleep(2 * time.Second)
+		stop()
+		Expect(free.share()).To(BeNumerically("==", 1), free.String())
+	})
+
+	// Guards against limits that are forgotten, and parts that are used twice, when instances
+	// end and begin anew.
+	It("gets no more than that while instances begin anew, one after the other and all at once", func() {
+		f := newRateFleet(2, 3)
+		f.targets[0].name("1.1")
+		var served tally
+		load := func(length time.Duration) {
+			stop := f.load(60, "/batch/x", &served)
+			time.Sleep(length)
+			stop()
+		}
+		load(4 * time.Second)
+		from := time.Now()
+		for n := range f.instances {
+			f.restart(n)
+			load(2 * time.Second)
+		}
+		Expect(f.targets[0].most(from)).To(BeNumerically("<=", allowed(1.1)))
+		f.restart(0, 1, 2)
+		// All learn of the limit anew, with their first answers.
+		load(time.Second)
+		from = time.Now()
+		load(6 * time.Second)
+		Expect(f.targets[0].most(from)).To(BeNumerically("<=", allowed(1.1)))
+		Expect(served.share()).To(BeNumerically(">=", 0.98), served.String())
+	})
+
+	DescribeTable("is not lost if the limit is no number of requests",
+		func(limit string) {
+			f := newRateFleet(1, 2)
+			f.targets[0].name(limit)
+			var served tally
+			stop := f.load(40, "/batch/x", &served)
+			time.Sleep(1500 * time.Millisecond)
+			stop()
+			Expect(served.share()).To(BeNumerically("==", 1), served.String())
+		},
+		Entry("empty", ""), Entry("negative", "-1"), Entry("NaN", "NaN"), Entry("beyond all numbers", "1e400"),
+	)
 })
