--- /dev/null
+++ b/internal/gateway/stream_version_test.go
@@ -0,0 +1,283 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const versionConfig = `{"Version":1,"Routes":[
+ {"Name":"one","Hostname":"h.example","PathPrefix":"/one/","Kind":"streaming","Resumable":true,"TimeoutMs":10000,"Service":"s","MaxAttempts":1},
+ {"Name":"more","Hostname":"h.example","PathPrefix":"/more/","Kind":"streaming","Resumable":true,"TimeoutMs":10000,"Service":"s","MaxAttempts":3}],
+ "Services":[{"Name":"s","MaxConns":200}],"Limits":{"MaxBodyBytes":1000000}}`
+
+// streamEvents is the number of events of a whole stream. The last one ends it.
+const streamEvents = 6
+
+// versionTarget is a target whose events name its software version.
+type versionTarget struct {
+	id, version, address string
+	// breaks makes it break off every nth stream after some events, 0 none.
+	breaks atomic.Int32
+	served atomic.Int32
+}
+
+func (t *versionTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n := t.served.Add(1)
+	w.Header().Set("X-Dotterellink-Attempt-Id", r.Header.Get("X-Dotterellink-Attempt-Id"))
+	w.Header().Set("X-Dotterellink-Server-Seal", "seal")
+	w.Header().Set("Content-Type", "text/event-stream")
+	first := 0
+	if last := r.Header.Get("Last-Event-Id"); last != "" {
+		_, _ = fmt.Sscan(last, &first)
+	}
+	for id := first + 1; id <= streamEvents; id++ {
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, t.version)
+		_ = http.NewResponseController(w).Flush()
+		if every := t.breaks.Load(); every > 0 && n%every == 0 && id >= first+2 && id < streamEvents {
+			panic(http.ErrAbortHandler)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// versionFleet is a fleet before targets of several software versions.
+type versionFleet struct {
+	rateFleet
+	versions []*versionTarget
+}
+
+func newVersionFleet(instances int, versions ...string) *versionFleet {
+	f := &versionFleet{rateFleet: rateFleet{crashFleet: newCrashFleet()}}
+	for _, v := range versions {
+		f.addVersion(v)
+	}
+	f.write("config/main", versionConfig)
+	for n := range instances {
+		f.instances = append(f.instances, f.start(fmt.Sprint("i", n), fmt.Sprint("z", n%3)))
+	}
+	for _, i := range f.instances {
+		Eventually(func() bool { return f.begin(i, "/more/x").complete }, 5*time.Second).Should(BeTrue())
+	}
+	return f
+}
+
+func (f *versionFleet) addVersion(version string) *versionTarget {
+	t := &versionTarget{id: fmt.Sprint("i-", len(f.versions)), version: version}
+	server := httptest.NewServer(t)
+	DeferCleanup(server.Close)
+	t.address = strings.TrimPrefix(server.URL, "http://")
+	f.versions = append(f.versions, t)
+	f.announce(t, "ready")
+	return t
+}
+
+func (f *versionFleet) announce(t *versionTarget, state string) {
+	f.write("servers/"+t.id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":"z1","Slots":50,"State":%q,"Version":%q,"born":1}`, t.address, state, t.version))
+}
+
+// stream is a stream over all tries of its caller.
+type stream struct {
+	// id is that of the attempt that brought the first event; empty if there was none.
+	id       string
+	path     string
+	key      string
+	last     int
+	versions map[string]bool
+	complete bool
+	status   int
+}
+
+// begin makes the first try of a stream.
+func (f *versionFleet) begin(i *instance, path string) *stream {
+	s := &stream{path: path, versions: make(map[string]bool), key: fmt.Sprintf("a1:10,%x:5", 1<<32+f.calls.Add(1))}
+	f.try(i, s, nil)
+	return s
+}
+
+// try makes one try, which takes the stream up if it has begun. It reports whether any
+// further event came.
+func (f *versionFleet) try(i *instance, s *stream, header http.Header) bool {
+	r, err := http.NewRequest(http.MethodGet, "http://"+i.settings.Listen.Callers+s.path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	id := fmt.Sprint("stream-", f.calls.Add(1))
+	r.Host = "h.example"
+	r.Header.Set("X-Dotterellink-Attempt-Id", id)
+	r.Header.Set("X-Dotterellink-Deadline-Ms", "8000")
+	r.Header.Set("X-Dotterellink-Prompt-Prefix", s.key)
+	if s.last > 0 {
+		r.Header.Set("Last-Event-Id", fmt.Sprint(s.last))
+		r.Header.Set("Resumes", s.id)
+	}
+	for name, values := range header {
+		if r.Header[name] = values; len(values) == 0 {
+			delete(r.Header, name)
+		}
+	}
+	before := s.last
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		s.status = 0
+		return false
+	}
+	defer answer.Body.Close()
+	if s.status = answer.StatusCode; s.status != http.StatusOK {
+		return false
+	}
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			_, _ = fmt.Sscan(value, &s.last)
+			if s.id == "" {
+				s.id = id
+			}
+		}
+		if value, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			s.versions[value] = true
+		}
+	}
+	s.complete = s.last == streamEvents
+	return s.last > before
+}
+
+// beginMany begins streams at all instances, a few at a time.
+func (f *versionFleet) beginMany(count int, path string) []*stream {
+	out := make([]*stream, count)
+	var group sync.WaitGroup
+	for worker := range 8 {
+		group.Go(func() {
+			defer GinkgoRecover()
+			for n := worker; n < count; n += 8 {
+				out[n] = f.begin(f.instances[n%len(f.instances)], path)
+			}
+		})
+	}
+	group.Wait()
+	return out
+}
+
+// takeUp takes the streams up that have begun and are not complete, at other instances than
+// those that began them. It returns how many it took up and how many went on.
+func (f *versionFleet) takeUp(list []*stream, header http.Header) (tries, wentOn int) {
+	for n, s := range list {
+		if s.complete || s.last == 0 {
+			continue
+		}
+		tries++
+		if f.try(f.instances[(n+1)%len(f.instances)], s, header) {
+			wentOn++
+		}
+	}
+	return tries, wentOn
+}
+
+// joined returns the number of streams with events of two versions.
+func joined(list []*stream) int {
+	n := 0
+	for _, s := range list {
+		if len(s.versions) > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// served returns how many streams each version began.
+func served(list []*stream) map[string]int {
+	out := make(map[string]int)
+	for _, s := range list {
+		for v := range s.versions {
+			out[v]++
+		}
+	}
+	return out
+}
+
+var _ = Describe("Streams of several software versions", func() {
+	// Guards against a stream that goes on at another version within one answer.
+	It("go on within one answer at the version that began them", func() {
+		f := newVersionFleet(2, "1", "1", "2", "2")
+		for _, t := range f.versions {
+			t.breaks.Store(3)
+		}
+		list := f.beginMany(150, "/more/x")
+		Expect(joined(list)).To(BeZero())
+	})
+
+	// Guards against callers' take-ups at another version, at instances that did not begin
+	// the stream.
+	It("are taken up at the version that began them", func() {
+		f := newVersionFleet(3, "1", "1", "2", "2")
+		for _, t := range f.versions {
+			t.breaks.Store(3)
+		}
+		list := f.beginMany(200, "/one/x")
+		for _, t := range f.versions {
+			t.breaks.Store(0)
+		}
+		tries, wentOn := f.takeUp(list, nil)
+		Expect(joined(list)).To(BeZero())
+		Expect(tries).To(BeNumerically(">", 30))
+		Expect(wentOn).To(BeNumerically(">=", tries*9/10))
+	})
+
+	// Guards against a version that new processes cannot know.
+	It("are taken up at the version that began them after all instances have begun anew", func() {
+		f := newVersionFleet(3, "1", "1", "2", "2")
+		for _, t := range f.versions {
+			t.breaks.Store(3)
+		}
+		list := f.beginMany(200, "/one/x")
+		for _, t := range f.versions {
+			t.breaks.Store(0)
+		}
+		f.restartStreams()
+		tries, wentOn := f.takeUp(list, nil)
+		Expect(joined(list)).To(BeZero())
+		Expect(tries).To(BeNumerically(">", 30))
+		Expect(wentOn).To(BeNumerically(">=", tries*9/10))
+	})
+
+	// Guards against take-ups at the remaining version of streams that one began which is gone.
+	It("are not taken up at the other version if theirs has left and all instances have begun anew", func() {
+		f := newVersionFleet(3, "1", "1", "2", "2")
+		for _, t := range f.versions {
+			t.breaks.Store(3)
+		}
+		list := f.beginMany(200, "/one/x")
+		for _, t := range f.versions {
+			t.breaks.Store(0)
+		}
+		f.announce(f.versions[0], "draining")
+		f.announce(f.versions[1], "draining")
+		time.Sleep(1500 * time.Millisecond)
+		f.restartStreams()
+		f.takeUp(list, nil)
+		Expect(joined(list)).To(BeZero())
+		for _, s := range list {
+			if s.versions["2"] && s.last > 0 {
+				Expect(s.complete).To(BeTrue(), "a stream of the version that stays: %d", s.status)
+			}
+		}
+	})
+})
+
+// restartStreams begins new runs of all instances and waits until they serve.
+func (f *versionFleet) restartStreams() {
+	var all []int
+	for n := range f.instances {
+		all = append(all, n)
+	}
+	f.beginAnew(all...)
+	for _, i := range f.instances {
+		Eventually(func() bool { return f.begin(i, "/more/x").complete }, 5*time.Second).Should(BeTrue())
+	}
+}
--- a/internal/gateway/target_rate_fleet_test.go
+++ b/internal/gateway/target_rate_fleet_test.go
@@ -182,8 +182,16 @@
 	return answer
 }
 
-// restart stops instances and begins new runs of them under their names.
+// restart begins new runs of instances and waits until they serve.
 func (f *rateFleet) restart(list ...int) {
+	f.beginAnew(list...)
+	for _, n := range list {
+		Eventually(f.instances[n].status("/once/x"), 4*time.Second).Should(Equal(http.StatusOK))
+	}
+}
+
+// beginAnew stops instances and begins new runs of them under their names.
+func (f *rateFleet) beginAnew(list ...int) {
 	for _, n := range list {
 		f.instances[n].stop()
 	}
@@ -196,9 +204,6 @@
 	for _, n := range list {
 		f.instances[n] = f.start(f.instances[n].settings.Name, f.instances[n].settings.Zone)
 	}
-	for _, n := range list {
-		Eventually(f.instances[n].status("/once/x"), 4*time.Second).Should(Equal(http.StatusOK))
-	}
 }
 
 // load makes calls on a path at all instances in turn until the returned function is used.
