LIMIT: each instance with a part sends often enough to notice the end of a limit

The spec of the end of a limit failed once (89 of 120 calls served 3 s after it): three instances shared 0.2 a second, and each sent at most one request in 7.5 s. A rate is now divided among no more instances than send one in 2.25 s each.

--- a/internal/allowance/targetrate.go
+++ b/internal/allowance/targetrate.go
@@ -18,7 +18,10 @@
 const (
 	// minTargetRate is the rate, in requests a second, that a target gets if it names a
 	// lower one. Only an answer shows that a limit has ended.
-	minTargetRate = 0.4
+	minTargetRate = 0.45
+	// confirmInterval is the time within which each instance with a part sends a request, if
+	// it has calls, so that the end of a limit is noticed.
+	confirmInterval = 2250 * time.Millisecond
 	// rateWindowMargin widens the window in which requests are counted, because they may
 	// arrive later than they are sent.
 	rateWindowMargin = 1.1
@@ -146,6 +149,7 @@
 func (r *TargetRates) divide(rate float64, members int) (holders int, burst float64) {
 	allowed := math.Floor(rate*r.bounds.Window.Seconds()*r.bounds.Overshoot+r.bounds.Slack) - r.most(controlRate(rate), controlBurst(rate)) - maxProbes
 	effective := max(rate, minTargetRate)
+	members = min(members, max(1, int(min(effective*confirmInterval.Seconds(), math.MaxInt32))))
 	for _, least := range []float64{2, 1.5, 1} {
 		for n := members; n >= min(members, minHolders); n-- {
 			burst = least
@@ -293,6 +297,8 @@
 	}
 	if !t.part.held {
 		t.probedAt = now
+		// A part that the instance gets next does not come on top.
+		t.calls.level = 0
 		return true
 	}
 	t.calls.level--
