ORDER: a stream goes on only at the software version that began it

Callers' streams could hold text of two versions, with nothing in the answer to show it. Cause: the version of a target was dropped when its announcement was read, so that any target could continue a stream: within one answer, when a caller took it up at any instance, and after a restart of all.

New streams are assigned to versions by the last part of their prompt, over the numbers of targets of each version. All instances share this assignment, and the store keeps it with the ones before it, so that a process that has just started knows the version of most streams without a record. Streams begun at another version, or moved by a new assignment while they may still be taken up, are recorded, told to peers and stored. A take-up whose version is not certain waits a quarter of a second for a record, and is refused then.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -44,6 +44,9 @@
 	Prefix          []PrefixPart
 	// LastEventID is the event after which a broken stream goes on.
 	LastEventID string
+	// Resumes is the ID of the call that brought the first event of that stream; empty if
+	// the caller did not name it.
+	Resumes string
 }
 
 // PrefixPart is one part of a prompt prefix, which calls may share.
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -34,6 +34,9 @@
 	// notHeldTTL is how long a target that did not hold a model or adapter is
 	// skipped for it, even if its announcement lists it.
 	notHeldTTL = 700 * time.Millisecond
+	// otherVersionPenalty is added for targets of another version than the assigned one: a
+	// process that has just started cannot tell that such a stream began there.
+	otherVersionPenalty = 150 * time.Millisecond
 	// newConnectionCost is the time to open a connection for the call.
 	newConnectionCost = time.Millisecond
 )
@@ -54,6 +57,8 @@
 	Limited bool
 	// ZoneUnreachable is set if the target's zone has instances and none of them is reachable.
 	ZoneUnreachable bool
+	// OtherVersion is set if new streams are assigned to another software version.
+	OtherVersion bool
 	// NewConnection is set if there is no idle connection to the target.
 	NewConnection bool
 }
@@ -150,6 +155,9 @@
 	if c.NeedsAdapter {
 		p.Score += adapterCost
 	}
+	if c.OtherVersion {
+		p.Score += otherVersionPenalty
+	}
 	return p
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -24,8 +24,11 @@
 	ID      string
 	Service string
 	// Address is IP:PORT.
-	Address  string
-	Zone     string
+	Address string
+	Zone    string
+	// Version is that of the target's software; targets that announce none share the empty
+	// one.
+	Version  string
 	Slots    int
 	Draining bool
 	// Remaining is the time until a target that the platform reclaims is gone; 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/dotterellink/dotterellink/internal/platform"
 	"github.com/dotterellink/dotterellink/internal/quarantine"
 	"github.com/dotterellink/dotterellink/internal/residency"
+	"github.com/dotterellink/dotterellink/internal/streamversion"
 	"github.com/dotterellink/dotterellink/internal/telemetry"
 	"github.com/dotterellink/dotterellink/internal/upstream"
 )
@@ -115,6 +116,11 @@
 	storedParts   quarantineStore
 	notices       noticeMetrics
 	rates         *targetRates
+	versions      *streamversion.Tracker
+	// storedVersions is used by bootstrapFromPeers, and by keepStreamVersions after that.
+	storedVersions storedVersions
+	// assignmentChanged is set if this instance has assigned streams since the last status.
+	assignmentChanged atomic.Bool
 	// leavingChanged is set if a target said that it leaves since the last status.
 	leavingChanged atomic.Bool
 	startedAt      time.Time
@@ -139,6 +145,7 @@
 	g.quota.Suspend()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	g.client, g.notices = upstream.NewClient(registry), newNoticeMetrics(registry)
+	g.versions = streamversion.NewTracker()
 	g.quarantine = quarantine.NewTracker(logger, registry)
 	g.store = newStoreState(d.Source, g.catalog, g.fleet, g.dispatcher, d.Eras, logger)
 	g.wireMesh()
@@ -160,14 +167,16 @@
 	g.registry.MustRegister(g.node.Collectors()...)
 	g.exchange = peers.NewExchange(g.node, g.settings.Listen.advertisedMesh(), uuid.NewString(), g.log)
 	g.exchange.FillStatus, g.exchange.OnStatus, g.exchange.OnRunEnded = g.fillStatus, g.onStatus, g.onRunEnded
-	g.quarantine.OnChange = g.exchange.TriggerBroadcast
+	g.quarantine.OnChange, g.versions.OnChange = g.exchange.TriggerBroadcast, g.exchange.TriggerBroadcast
 	g.exchange.HasUpdates = func() bool {
-		return g.dispatcher.Pending() || g.controller.Pending() || g.quarantine.Pending() || g.rates.limits.Pending()
+		return g.dispatcher.Pending() || g.controller.Pending() || g.quarantine.Pending() || g.rates.limits.Pending() ||
+			g.versions.Pending() || g.assignmentChanged.Load()
 	}
 	mesh.Handle(g.node, methodSnapshot, func(ctx context.Context, from mesh.Peer, r *snapshotRequest) (*snapshot, error) {
 		out, err := g.store.handleSnapshot(ctx, from, r)
 		if err == nil {
 			out.Levels = g.quota.Levels(time.Now())
+			out.Assignments, out.Streams = g.versions.History(time.Now()), g.versions.All(time.Now())
 			out.Rates = g.rates.limits.Updates(true, time.Now())
 			out.Suspicions = append(g.quarantine.All(time.Now()), g.quarantine.Requests(time.Now())...)
 		}
@@ -200,7 +209,7 @@
 		Zone: g.settings.Zone, Dialect: g.deps.Dialect, Catalog: g.catalog, Fleet: g.fleet, Dispatcher: g.dispatcher,
 		Upstream: g.client, Quota: g.quota,
 		Retries: allowance.NewRetryBudget(allowance.RetryBounds{Window: seconds(b.RetryWindowSeconds), Ratio: b.RetryRatio, Slack: b.RetrySlack}),
-		Cold:    g.cold, Rates: g.rates.limits, Quarantine: g.quarantine, Trials: newTrials(g),
+		Cold:    g.cold, Rates: g.rates.limits, Versions: g.versions, Quarantine: g.quarantine, Trials: newTrials(g),
 		Residency: placement{g}, Members: members{g.exchange, g}, TargetsConfirmed: g.store.confirmed.Load, OnNotice: g.onCallNotice,
 		Log: g.log, Tracer: g.deps.Tracing.Tracer,
 		Metrics: g.registry, Now: time.Now,
@@ -247,7 +256,7 @@
 	for _, loop := range []func(context.Context) error{
 		func(ctx context.Context) error { return g.node.Run(ctx, g.meshListener) },
 		g.afterBootstrap(g.store.config.Run), g.afterBootstrap(g.store.targets.Run),
-		g.afterBootstrap(g.store.evacuations.Run), g.afterBootstrap(g.keepQuarantine),
+		g.afterBootstrap(g.store.evacuations.Run), g.afterBootstrap(g.keepQuarantine), g.afterBootstrap(g.keepStreamVersions),
 		g.exchange.Run, g.leases.Run, g.controller.Run, g.discoverPeers, g.housekeep,
 	} {
 		group.Go(func() error { return loop(groupCtx) })
--- a/internal/gateway/introduce.go
+++ b/internal/gateway/introduce.go
@@ -33,14 +33,15 @@
 )
 
 // bootstrapFromPeers fetches a snapshot from a peer, if one has a configuration, before
-// the store is read. Without such a peer it reads the stored quarantine, so that no call is
-// served before.
+// the store is read. Without such a peer it reads the stored quarantine and the stored
+// versions of streams, so that no call is served before.
 func (g *Gateway) bootstrapFromPeers(ctx context.Context) {
 	defer close(g.bootstrapped)
 	g.fetchFromPeers(ctx)
 	if g.catalog.Current() == nil {
-		g.storedParts.unread = true
+		g.storedParts.unread, g.storedVersions.unread = true, true
 		g.readQuarantine(ctx)
+		g.readStreamVersions(ctx)
 	}
 }
 
@@ -162,6 +163,7 @@
 	g.trackAccounts(now)
 	g.quota.Adopt(s.Levels, now)
 	g.rates.limits.Apply(s.Rates, now)
+	g.applyVersions(s.Assignments, s.Streams, now)
 	g.quarantine.Merge(s.Suspicions, now)
 	return time.Duration(s.AgeMS) * time.Millisecond, true
 }
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -12,6 +12,7 @@
 	"github.com/dotterellink/dotterellink/internal/mesh"
 	"github.com/dotterellink/dotterellink/internal/platform"
 	"github.com/dotterellink/dotterellink/internal/quarantine"
+	"github.com/dotterellink/dotterellink/internal/streamversion"
 )
 
 // methodSnapshot requests the snapshot of a peer.
@@ -29,6 +30,9 @@
 	Levels []allowance.AccountLevel `msgpack:"q,omitempty"`
 	// Rates are the request rates that targets name.
 	Rates []allowance.RateUpdate `msgpack:"r,omitempty"`
+	// Assignments and Streams tell the software versions of streams.
+	Assignments streamversion.History  `msgpack:"va,omitempty"`
+	Streams     []streamversion.Record `msgpack:"vs,omitempty"`
 	// Departed are the targets that leave or have left, as the peer knows.
 	Departed []fleet.Departed `msgpack:"d,omitempty"`
 	// MayBeCold are the targets that may have become cold without announcing it.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -30,6 +30,7 @@
 		g.fullStatuses++
 	}
 	s.Rates = g.rates.limits.Updates(full, time.Now())
+	g.fillVersions(s, full)
 	s.Suspicions = g.quarantine.TakeUpdates(full && repeatsSuspicions(g.fullStatuses, len(g.exchange.Names())), time.Now())
 	s.Loads, s.PrefixUpdates = g.dispatcher.TakeUpdates(full, time.Now())
 	g.recordAdapterUse(s.PrefixUpdates)
@@ -63,6 +64,7 @@
 	g.quarantine.Merge(s.Suspicions, now)
 	g.dispatcher.AddColdSuspicions(s.MayBeCold, now)
 	g.rates.limits.Apply(s.Rates, now)
+	g.applyVersions(s.Assignments, s.Streams, now)
 	g.dispatcher.ApplyPeerUpdate(from.Name, s.Loads, s.PrefixUpdates, now)
 	g.quota.ApplyPeerSpending(s.Run, s.Spent, s.AllCounts, now)
 	g.demand.Observe(s.Run, s.Demand, s.AllCounts, now)
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -80,6 +80,10 @@
 
 // nextTry returns the successor of the last attempt, or picks a target for a new try.
 func (f *forwarder) nextTry(ctx context.Context) (*try, bool) {
+	if f.successor != nil && !f.continues(f.successor.pick.Target) {
+		// The stream has begun at another version since.
+		f.dropSuccessor()
+	}
 	t := f.successor
 	if t == nil {
 		pick, ok := f.pick(ctx)
@@ -380,6 +384,7 @@
 func (f *forwarder) startStream(response *upstream.Response) {
 	now := f.Now()
 	f.recordFirstAnswer(now)
+	f.recordVersion(now)
 	f.writeHead(response.Status, response.Header)
 }
 
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -155,6 +155,7 @@
 	now := f.Now()
 	names := f.Members.Names()
 	maxOpen := max(1, int(connectionShare*float64(service.MaxConnections))/max(1, len(names)))
+	preferred, assigned := f.preferredVersion()
 	var out []dispatch.Candidate
 	var limit limitation
 	limitedBy := func(wait time.Duration, rateOf string) {
@@ -164,10 +165,11 @@
 	}
 	for _, t := range f.Fleet.View().Holders(f.service, f.call.Model) {
 		hasModel, hasAdapter := f.Residency.Holds(t, f.call.Model, f.call.Adapter)
-		if !hasModel {
+		if !hasModel || !f.continues(t) {
 			continue
 		}
 		c := dispatch.Candidate{Target: t, NeedsAdapter: !hasAdapter, ZoneUnreachable: f.Members.ZoneUnreachable(t.Zone)}
+		c.OtherVersion = assigned && t.Version != preferred
 		c.NewConnection = !f.Upstream.HasIdle(t.ID, t.Address)
 		c.Limited = service.MaxConnections > 0 && c.NewConnection && f.Upstream.OpenConnections(t.ID, t.Address) >= maxOpen
 		if f.mayBeCold(t, service, now) {
@@ -297,7 +299,7 @@
 		return pick, true
 	}
 	target := f.Fleet.View().Targets[id]
-	if target == nil || !target.Usable() {
+	if target == nil || !target.Usable() || !f.continues(target) {
 		f.giveUp("no_adapter", f.adapterRetryAfter())
 		return dispatch.Pick{}, false
 	}
--- a/internal/passthrough/flight.go
+++ b/internal/passthrough/flight.go
@@ -72,6 +72,9 @@
 	// of the answer was relayed.
 	lastEventID string
 	headSent    bool
+	// version is the software version that began the stream; nil if it has not begun or may
+	// not be resumed.
+	version atomic.Pointer[string]
 	// cut is set if the connection of the caller is closed within the answer.
 	cut bool
 	// target is the target of the latest attempt.
@@ -115,6 +118,9 @@
 	defer cancel()
 	// net/http clears it after the call.
 	_ = http.NewResponseController(f.w).SetWriteDeadline(f.deadline.Add(writeMargin))
+	if !f.resume() {
+		return
+	}
 	f.excluded = make(map[string]bool)
 	f.work = dispatch.NewWork(f.call)
 	f.Retries.RecordCall(f.service, f.Now())
@@ -270,13 +276,18 @@
 	case f.runs > 0:
 		f.fail(http.StatusGatewayTimeout, reason)
 	default:
-		if f.account != nil {
-			f.Quota.Refund(f.account.Name, f.units)
-		}
+		f.refundQuota()
 		f.refuse(f.w, f.call, http.StatusServiceUnavailable, reason, retryAfter)
 	}
 }
 
+// refundQuota gives back the units of a call that has not run.
+func (f *forwarder) refundQuota() {
+	if f.account != nil {
+		f.Quota.Refund(f.account.Name, f.units)
+	}
+}
+
 // fail answers a call that may have run.
 func (f *forwarder) fail(status int, reason string) {
 	for name, values := range f.Dialect.RefusalHeader(f.call, 0) {
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -21,6 +21,7 @@
 	"github.com/dotterellink/dotterellink/internal/dispatch"
 	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/quarantine"
+	"github.com/dotterellink/dotterellink/internal/streamversion"
 	"github.com/dotterellink/dotterellink/internal/upstream"
 )
 
@@ -94,6 +95,7 @@
 	Retries    *allowance.RetryBudget
 	Cold       *allowance.ColdLimiter
 	Rates      *allowance.TargetRates
+	Versions   *streamversion.Tracker
 	Quarantine *quarantine.Tracker
 	// Trials may be nil: no trial is granted then.
 	Trials    Trials
--- a/internal/passthrough/standins_test.go
+++ b/internal/passthrough/standins_test.go
@@ -21,6 +21,7 @@
 	"github.com/dotterellink/dotterellink/internal/fleet"
 	"github.com/dotterellink/dotterellink/internal/passthrough"
 	"github.com/dotterellink/dotterellink/internal/quarantine"
+	"github.com/dotterellink/dotterellink/internal/streamversion"
 	"github.com/dotterellink/dotterellink/internal/telemetry"
 	"github.com/dotterellink/dotterellink/internal/upstream"
 )
@@ -169,6 +170,7 @@
 		Retries: allowance.NewRetryBudget(allowance.RetryBounds{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}),
 		Cold:    allowance.NewColdLimiter(allowance.ColdBounds{Overshoot: 1, Slack: 2}, time.Now().Add(-time.Hour)), Quarantine: tracker, Residency: residency, Members: singleInstance{},
 		Rates:            allowance.NewTargetRates(allowance.RateBounds{Window: 4 * time.Second, Overshoot: 1.5, Slack: 5}, singleInstance{}, time.Now().Add(-time.Hour)),
+		Versions:         streamversion.NewTracker(),
 		TargetsConfirmed: func() bool { return true },
 		OnNotice: func(t *fleet.Target, n call.Notice, _ time.Time) {
 			if n.Leaving {
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -7,6 +7,7 @@
 	"github.com/dotterellink/dotterellink/internal/lease"
 	"github.com/dotterellink/dotterellink/internal/platform"
 	"github.com/dotterellink/dotterellink/internal/quarantine"
+	"github.com/dotterellink/dotterellink/internal/streamversion"
 )
 
 // Status is the message that an instance sends to its peers.
@@ -31,6 +32,9 @@
 
 	// MayBeCold are the targets that may have become cold without announcing it.
 	MayBeCold []dispatch.ColdSuspicion `msgpack:"mc,omitempty"`
+	// Assignments and Streams tell the software versions of streams.
+	Assignments streamversion.History  `msgpack:"va,omitempty"`
+	Streams     []streamversion.Record `msgpack:"vs,omitempty"`
 	// Rates are the request rates that targets name, and those that ended.
 	Rates         []allowance.RateUpdate  `msgpack:"rl,omitempty"`
 	Loads         []dispatch.TargetLoad   `msgpack:"ld,omitempty"`
