--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -24,14 +24,17 @@
 
 // versionTarget is a target whose events name its software version.
 type versionTarget struct {
-	id, version, address string
+	id, address string
+	version     atomic.Pointer[string]
 	// breaks makes it break off every nth stream after some events, 0 none.
 	breaks atomic.Int32
 	served atomic.Int32
 }
 
+func (t *versionTarget) setVersion(version string) { t.version.Store(&version) }
+
 func (t *versionTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	n := t.served.Add(1)
+	n, version := t.served.Add(1), *t.version.Load()
 	w.Header().Set("X-Dotterellink-Attempt-Id", r.Header.Get("X-Dotterellink-Attempt-Id"))
 	w.Header().Set("X-Dotterellink-Server-Seal", "seal")
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -40,7 +43,7 @@
 		_, _ = fmt.Sscan(last, &first)
 	}
 	for id := first + 1; id <= streamEvents; id++ {
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, t.version)
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, version)
 		_ = http.NewResponseController(w).Flush()
 		if every := t.breaks.Load(); every > 0 && n%every == 0 && id >= first+2 && id < streamEvents {
 			panic(http.ErrAbortHandler)
@@ -71,7 +74,8 @@
 }
 
 func (f *versionFleet) addVersion(version string) *versionTarget {
-	t := &versionTarget{id: fmt.Sprint("i-", len(f.versions)), version: version}
+	t := &versionTarget{id: fmt.Sprint("i-", len(f.versions))}
+	t.setVersion(version)
 	server := httptest.NewServer(t)
 	DeferCleanup(server.Close)
 	t.address = strings.TrimPrefix(server.URL, "http://")
@@ -81,7 +85,7 @@
 }
 
 func (f *versionFleet) announce(t *versionTarget, state string) {
-	f.write("servers/"+t.id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":"z1","Slots":50,"State":%q,"Version":%q,"born":1}`, t.address, state, t.version))
+	f.write("servers/"+t.id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":"z1","Slots":50,"State":%q,"Version":%q,"born":1}`, t.address, state, *t.version.Load()))
 }
 
 // stream is a stream over all tries of its caller.
@@ -268,6 +272,59 @@
 			}
 		}
 	})
+
+	// Guards against a stream that is joined because its caller does not name it rightly.
+	DescribeTable("are not joined if the caller names the stream wrongly or not at all",
+		func(header http.Header) {
+			f := newVersionFleet(3, "1", "1", "2", "2", "3")
+			for _, t := range f.versions {
+				t.breaks.Store(3)
+			}
+			list := f.beginMany(150, "/one/x")
+			for _, t := range f.versions {
+				t.breaks.Store(0)
+			}
+			tries, _ := f.takeUp(list, header)
+			Expect(tries).To(BeNumerically(">", 20))
+			Expect(joined(list)).To(BeZero())
+		},
+		Entry("missing", http.Header{"Resumes": nil}),
+		Entry("unknown", http.Header{"Resumes": {"nobody-knows"}}),
+		Entry("malformed", http.Header{"Resumes": {"\x7f ,,;"}}),
+		Entry("without a prompt", http.Header{"X-Dotterellink-Prompt-Prefix": nil}),
+		Entry("without a prompt and missing", http.Header{"X-Dotterellink-Prompt-Prefix": nil, "Resumes": nil}),
+	)
+
+	// Guards against a version that gets no new streams, and against take-ups at a target that
+	// came back under its id with another version.
+	It("begin at each version in proportion to its targets, also while they are released one by one", func() {
+		f := newVersionFleet(2, "1", "1", "1", "1")
+		var list []*stream
+		for n, t := range f.versions {
+			list = append(list, f.beginMany(60, "/more/x")...)
+			t.breaks.Store(4)
+			again := f.beginMany(60, "/one/x")
+			t.breaks.Store(0)
+			if n%2 == 0 {
+				f.addVersion("2")
+				f.announce(t, "draining")
+			} else {
+				// It restarts under its id.
+				t.setVersion("2")
+				f.announce(t, "ready")
+			}
+			time.Sleep(1200 * time.Millisecond)
+			f.takeUp(again, nil)
+			list = append(list, again...)
+			if n == 1 {
+				half := f.beginMany(200, "/more/x")
+				Expect(served(half)["1"]).To(BeNumerically("~", 100, 40))
+				Expect(served(half)["2"]).To(BeNumerically("~", 100, 40))
+			}
+		}
+		Expect(joined(list)).To(BeZero())
+		Expect(served(f.beginMany(40, "/more/x"))).To(HaveKeyWithValue("2", 40))
+	})
 })
 
 // restartStreams begins new runs of all instances and waits until they serve.
