--- a/test/soak/book_test.go
+++ b/test/soak/book_test.go
@@ -94,6 +94,8 @@
 	// a request did, by its path.
 	crashed   []time.Time
 	crashedBy map[string][]time.Time
+	// limits are the times in which targets named limits of their request rates.
+	limits []*limitation
 }
 
 // order is an order as a target got it.
@@ -202,6 +204,7 @@
 	b.judgeLoads(w)
 	b.judgeLeaving(w)
 	b.judgeBusy(w)
+	b.judgeLimits(w)
 	b.judgeCrashing(w)
 	b.judgeTimeouts(w)
 	return b.broken
--- a/test/soak/instance_test.go
+++ b/test/soak/instance_test.go
@@ -61,7 +61,8 @@
 		RetryRatio: retryRatio, RetryWindowSeconds: retryWindow.Seconds(), RetrySlack: retrySlack,
 		ColdOvershoot: coldOvershoot, ColdSlack: coldSlack,
 		QuotaWindowSeconds: quotaWindow.Seconds(), QuotaOvershoot: quotaOvershoot, QuotaSlack: quotaSlack,
-		OrderGapMS: float64(orderGap.Milliseconds()),
+		OrderGapMS:              float64(orderGap.Milliseconds()),
+		TargetRateWindowSeconds: limitWindow.Seconds(), TargetRateOvershoot: limitOvershoot, TargetRateSlack: limitSlack,
 	}
 	n.settings, n.path = s, filepath.Join(w.dir, n.name+".json")
 	return n
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -150,6 +150,7 @@
 	var answers sync.WaitGroup
 	answers.Go(func() { w.disruptAnswers(until) })
 	answers.Go(func() { w.disruptSignals(until) })
+	answers.Go(func() { w.disruptLimits(until) })
 	answers.Go(func() { w.crashInSoak(until) })
 	w.disrupt(until)
 	answers.Wait()
--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -78,7 +78,9 @@
 	// away is since when the process is gone, zero while it runs; it comes back.
 	away time.Time
 	// answers is how the target answers besides odd.
-	answers     answering
+	answers answering
+	// limit is the request rate that the target names, nil if it names none.
+	limit       *limitation
 	silentUntil time.Time
 	silences    []span
 	unsound     []span
@@ -238,6 +240,9 @@
 	if odd.leaving {
 		platformtest.SetLeaving(w.Header())
 	}
+	if l := t.namedLimit(); l != nil {
+		platformtest.SetRateLimit(w.Header(), l.rate)
+	}
 	switch {
 	case odd.busy:
 		t.refuseBusy(w, r)
@@ -286,7 +291,7 @@
 	if err != nil {
 		return
 	}
-	t.w.book.arrivedCall(t, c)
+	defer t.namedLimit().tell(t.w.book.arrivedCall(t, c))
 	if c.TargetID != "" && c.TargetID != t.id || t.engine != nil && !t.engine.holds(c.Model, c.Adapter) {
 		t.speak(r.Context())
 		platformtest.RespondNotExecuted(w, c.ID, http.StatusMisdirectedRequest)
@@ -367,7 +372,7 @@
 
 func (t *target) reply(w http.ResponseWriter, c platformtest.Received, garbled bool) {
 	body := t.answer(c.ID)
-	if !garbled && rand.Float64() < unframedShare && t.replyUnframed(w, c, body) {
+	if !garbled && t.namedLimit() == nil && rand.Float64() < unframedShare && t.replyUnframed(w, c, body) {
 		return
 	}
 	platformtest.SetResponseHeader(w.Header(), c.ID, t.id)
@@ -403,7 +408,7 @@
 	platformtest.SetResponseHeader(w.Header(), c.ID, t.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	var out io.WriteCloser = flushed{w}
-	if rand.Float64() < unframedShare {
+	if t.namedLimit() == nil && rand.Float64() < unframedShare {
 		raw, ok := t.streamUnframed(w, c)
 		if !ok {
 			panic(http.ErrAbortHandler)
