--- a/internal/gateway/stream_version_test.go
+++ b/internal/gateway/stream_version_test.go
@@ -19,13 +19,23 @@
  {"Name":"more","Hostname":"h.example","PathPrefix":"/more/","Kind":"streaming","Resumable":true,"TimeoutMs":10000,"Service":"s","MaxAttempts":3}],
  "Services":[{"Name":"s","MaxConns":200}],"Limits":{"MaxBodyBytes":1000000}}`
 
+// engineConfig makes the targets of versionConfig engines.
+const engineConfig = `{"Version":2,"Routes":[
+ {"Name":"one","Hostname":"h.example","PathPrefix":"/one/","Kind":"streaming","Resumable":true,"TimeoutMs":10000,"Service":"s","MaxAttempts":1},
+ {"Name":"more","Hostname":"h.example","PathPrefix":"/more/","Kind":"streaming","Resumable":true,"TimeoutMs":10000,"Service":"s","MaxAttempts":3}],
+ "Services":[{"Name":"s","MaxConns":200,"Engine":{"Slots":50,"KvCapacity":100000,"WeightsMb":100,"AdapterSlots":4,"LoadsPerS":1,
+ "Models":[{"Name":"m","WeightsMb":10,"LoadTimeS":1,"Adapters":2,"AdapterMb":1},{"Name":"n","WeightsMb":10,"LoadTimeS":1,"Adapters":0}]}}],
+ "Limits":{"MaxBodyBytes":1000000}}`
+
 // streamEvents is the number of events of a whole stream. The last one ends it.
 const streamEvents = 6
 
 // versionTarget is a target whose events name its software version.
 type versionTarget struct {
 	id, address string
-	version     atomic.Pointer[string]
+	// models is the list of models that it announces, in JSON; empty for a plain service.
+	models  string
+	version atomic.Pointer[string]
 	// breaks makes it break off every nth stream after some events, 0 none.
 	breaks atomic.Int32
 	served atomic.Int32
@@ -85,15 +95,21 @@
 }
 
 func (f *versionFleet) announce(t *versionTarget, state string) {
+	if t.models != "" {
+		f.write("servers/"+t.id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":"z1","Slots":50,"State":%q,"Version":%q,"born":1,"Models":%s}`, t.address, state, *t.version.Load(), t.models))
+		return
+	}
 	f.write("servers/"+t.id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":"z1","Slots":50,"State":%q,"Version":%q,"born":1}`, t.address, state, *t.version.Load()))
 }
 
 // stream is a stream over all tries of its caller.
 type stream struct {
 	// id is that of the attempt that brought the first event; empty if there was none.
-	id       string
-	path     string
-	key      string
+	id   string
+	path string
+	key  string
+	// model is the model that the call names, empty for none.
+	model    string
 	last     int
 	versions map[string]bool
 	complete bool
@@ -102,7 +118,12 @@
 
 // begin makes the first try of a stream.
 func (f *versionFleet) begin(i *instance, path string) *stream {
-	s := &stream{path: path, versions: make(map[string]bool), key: fmt.Sprintf("a1:10,%x:5", 1<<32+f.calls.Add(1))}
+	return f.beginModel(i, path, "")
+}
+
+// beginModel makes the first try of a stream of a model.
+func (f *versionFleet) beginModel(i *instance, path, model string) *stream {
+	s := &stream{path: path, model: model, versions: make(map[string]bool), key: fmt.Sprintf("a1:10,%x:5", 1<<32+f.calls.Add(1))}
 	f.try(i, s, nil)
 	return s
 }
@@ -117,6 +138,10 @@
 	r.Header.Set("X-Dotterellink-Attempt-Id", id)
 	r.Header.Set("X-Dotterellink-Deadline-Ms", "8000")
 	r.Header.Set("X-Dotterellink-Prompt-Prefix", s.key)
+	if s.model != "" {
+		r.Header.Set("X-Dotterellink-Model", s.model)
+		r.Header.Set("X-Dotterellink-Token-Usage", "15,10")
+	}
 	if s.last > 0 {
 		r.Header.Set("Last-Event-Id", fmt.Sprint(s.last))
 		r.Header.Set("Resumes", s.id)
@@ -168,6 +193,18 @@
 	return out
 }
 
+// beginBroken begins streams of which one in three is broken off.
+func (f *versionFleet) beginBroken(count int, path string) []*stream {
+	for _, t := range f.versions {
+		t.breaks.Store(3)
+	}
+	list := f.beginMany(count, path)
+	for _, t := range f.versions {
+		t.breaks.Store(0)
+	}
+	return list
+}
+
 // takeUp takes the streams up that have begun and are not complete, at other instances than
 // those that began them. It returns how many it took up and how many went on.
 func (f *versionFleet) takeUp(list []*stream, header http.Header) (tries, wentOn int) {
@@ -220,13 +257,7 @@
 	// the stream.
 	It("are taken up at the version that began them", func() {
 		f := newVersionFleet(3, "1", "1", "2", "2")
-		for _, t := range f.versions {
-			t.breaks.Store(3)
-		}
-		list := f.beginMany(200, "/one/x")
-		for _, t := range f.versions {
-			t.breaks.Store(0)
-		}
+		list := f.beginBroken(200, "/one/x")
 		tries, wentOn := f.takeUp(list, nil)
 		Expect(joined(list)).To(BeZero())
 		Expect(tries).To(BeNumerically(">", 30))
@@ -236,13 +267,7 @@
 	// Guards against a version that new processes cannot know.
 	It("are taken up at the version that began them after all instances have begun anew", func() {
 		f := newVersionFleet(3, "1", "1", "2", "2")
-		for _, t := range f.versions {
-			t.breaks.Store(3)
-		}
-		list := f.beginMany(200, "/one/x")
-		for _, t := range f.versions {
-			t.breaks.Store(0)
-		}
+		list := f.beginBroken(200, "/one/x")
 		f.restartStreams()
 		tries, wentOn := f.takeUp(list, nil)
 		Expect(joined(list)).To(BeZero())
@@ -253,13 +278,7 @@
 	// Guards against take-ups at the remaining version of streams that one began which is gone.
 	It("are not taken up at the other version if theirs has left and all instances have begun anew", func() {
 		f := newVersionFleet(3, "1", "1", "2", "2")
-		for _, t := range f.versions {
-			t.breaks.Store(3)
-		}
-		list := f.beginMany(200, "/one/x")
-		for _, t := range f.versions {
-			t.breaks.Store(0)
-		}
+		list := f.beginBroken(200, "/one/x")
 		f.announce(f.versions[0], "draining")
 		f.announce(f.versions[1], "draining")
 		time.Sleep(1500 * time.Millisecond)
@@ -273,17 +292,42 @@
 		}
 	})
 
+	// Guards against a take-up at the other version because it holds the model of the stream.
+	It("are taken up at the version that began them beside models and adapters that few targets hold", func() {
+		f := newVersionFleet(3, "1", "1", "2", "2")
+		held := []string{`["a1"]`, `[]`, `["a1"]`, `[]`}
+		for n, t := range f.versions {
+			t.models = `[{"Name":"m","Version":1,"Adapters":` + held[n] + `}]`
+			if n == 1 || n == 2 {
+				t.models = `[{"Name":"m","Version":1,"Adapters":` + held[n] + `},{"Name":"n","Version":1,"Adapters":[]}]`
+			}
+			f.announce(t, "ready")
+		}
+		f.write("config/main", engineConfig)
+		for _, i := range f.instances {
+			Eventually(func() bool { return f.beginModel(i, "/one/x", "n").complete }, 5*time.Second).Should(BeTrue())
+		}
+		for _, t := range f.versions {
+			t.breaks.Store(3)
+		}
+		var list []*stream
+		for n := range 150 {
+			list = append(list, f.beginModel(f.instances[n%3], "/one/x", []string{"m", "n", "m/a1"}[n%3]))
+		}
+		for _, t := range f.versions {
+			t.breaks.Store(0)
+		}
+		tries, wentOn := f.takeUp(list, nil)
+		Expect(joined(list)).To(BeZero())
+		Expect(tries).To(BeNumerically(">", 20))
+		Expect(wentOn).To(BeNumerically(">=", tries*9/10))
+	})
+
 	// Guards against a stream that is joined because its caller does not name it rightly.
 	DescribeTable("are not joined if the caller names the stream wrongly or not at all",
 		func(header http.Header) {
 			f := newVersionFleet(3, "1", "1", "2", "2", "3")
-			for _, t := range f.versions {
-				t.breaks.Store(3)
-			}
-			list := f.beginMany(150, "/one/x")
-			for _, t := range f.versions {
-				t.breaks.Store(0)
-			}
+			list := f.beginBroken(150, "/one/x")
 			tries, _ := f.takeUp(list, header)
 			Expect(tries).To(BeNumerically(">", 20))
 			Expect(joined(list)).To(BeZero())
