ORDER: the assignment of versions is stored again after the store came back from an older copy

A process that started later took streams up by the former assignment. The watcher now reads the object once in each new era of the store and writes the one in force again. Without the change the spec times out with revision 1 in the store.

--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -91,6 +91,31 @@
 		write("config/main", fmt.Sprintf(configFormat, 1, "a"))
 	})
 
+	// Guards against a process that starts later and takes streams up by an assignment that is
+	// no longer in force.
+	It("store the assignment of software versions again", func() {
+		version := func(id, v string) {
+			write("servers/"+id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":"z1","Slots":6,"State":"ready","Version":%q,"born":1}`, strings.TrimPrefix(target.URL, "http://"), v))
+		}
+		stored := func() string {
+			o, err := store.Get(ctx, "versions/assignment")
+			if err != nil {
+				return ""
+			}
+			return string(o.Value)
+		}
+		all := []*instance{start("i1", "z1"), start("i2", "z1")}
+		served(all, "/a/x")
+		Eventually(stored, 4*time.Second).Should(ContainSubstring(`"revision":1`))
+		store.Copy()
+		version("t2", "2")
+		Eventually(stored, 4*time.Second).Should(ContainSubstring(`"revision":2`))
+		store.Rewind()
+		version("t2", "2")
+		Expect(stored()).NotTo(ContainSubstring(`"revision":2`))
+		Eventually(stored, 6*time.Second).Should(ContainSubstring(`"revision":2`))
+	})
+
 	It("keep the configuration in force, follow what is written again, and call the store a few times only", func() {
 		all := []*instance{start("i1", "z1"), start("i2", "z1"), start("i3", "z2")}
 		served(all, "/a/x")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,8 @@
 	storedVersions storedVersions
 	// assignmentChanged is set if this instance has assigned streams since the last status.
 	assignmentChanged atomic.Bool
+	// assignmentLost is set if the store may have lost the assignment in force.
+	assignmentLost atomic.Bool
 	// leavingChanged is set if a target said that it leaves since the last status.
 	leavingChanged atomic.Bool
 	startedAt      time.Time
@@ -155,7 +157,10 @@
 	g.store.wire(followerConfig{objects: d.Objects, watching: g.watching, leading: g.leading, relay: g.relay})
 	g.wireResidency()
 	g.registration.eras = d.Eras
-	d.Eras.OnChange(func(_, _ platform.Era) { g.registration.checkSoon(time.Now()) })
+	d.Eras.OnChange(func(_, _ platform.Era) {
+		g.registration.checkSoon(time.Now())
+		g.assignmentLost.Store(true)
+	})
 	g.wireServer()
 	return g, g.listen()
 }
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -146,6 +146,9 @@
 // assignVersions writes a new assignment if the versions that serve have changed. It comes
 // into force once it is stored.
 func (g *Gateway) assignVersions(ctx context.Context) error {
+	if g.assignmentLost.Load() && g.watching() {
+		return g.restoreAssignment(ctx)
+	}
 	history, changed := g.versions.Next(g.servingVersions(), time.Now())
 	first := !g.versions.Known() && g.leading()
 	if !changed || !g.watching() && !first || g.ready.isLeaving() || g.store.storeIsLost() {
@@ -173,6 +176,31 @@
 	return nil
 }
 
+// restoreAssignment writes the assignment in force again if the store, which came back from
+// a copy of itself, has an older one.
+func (g *Gateway) restoreAssignment(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, versionsReadTimeout)
+	defer cancel()
+	stored, err := g.readAssignment(ctx)
+	if err != nil {
+		return err
+	}
+	history := g.versions.History(time.Now())
+	if len(history) > 0 && (len(stored) == 0 || stored[0].Revision < history[0].Revision) {
+		value, err := json.Marshal(history)
+		if err != nil {
+			return err
+		}
+		o, err := g.deps.Objects.Put(ctx, assignmentKey, value, g.storedVersions.assignment)
+		if err != nil {
+			return err
+		}
+		g.storedVersions.assignment = o.Version
+	}
+	g.assignmentLost.Store(false)
+	return nil
+}
+
 // storeStreams writes the records of this instance if they have changed.
 func (g *Gateway) storeStreams(ctx context.Context) error {
 	s := &g.storedVersions
