--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -1,7 +1,7 @@
 // Package allowance enforces the limits that all instances share: the units of
-// client accounts, retries, and calls to targets in cold start. Each instance
-// decides locally: on units from its own spending and the updates of its peers,
-// on the others by its share of the bound. The slack of the bound on units covers
+// client accounts, retries, calls to targets in cold start, and requests to targets that
+// limit their rate. Each instance decides locally: on units from its own spending and the
+// updates of its peers, on the others by its share of the bound. The slack of the bound on units covers
 // the delay of these updates.
 package allowance
 
