--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -18,7 +18,7 @@
 }
 
 var cases = map[string]func(w *world, trouble bool) verdict{
-	"drain": drainCase,
+	"crowd": crowdCase,
 	"moved": movedCase,
 }
 
--- a/review/harness2/runner.go
+++ b/review/harness2/runner.go
@@ -56,6 +56,9 @@
 	listener             net.Listener
 	server               *http.Server
 
+	// running holds a place for each request that runs or waits, turn one for each that runs.
+	running, turn chan struct{}
+
 	mu       sync.Mutex
 	state    string
 	born     int64
@@ -72,6 +75,11 @@
 
 // startRunner starts a runner and announces it.
 func (w *world) startRunner(id, service, zone, address string, models map[string][]string) *runner {
+	return w.startRunnerAt(time.Now(), id, service, zone, address, models)
+}
+
+// startRunnerAt is startRunner on a machine with the given time of day.
+func (w *world) startRunnerAt(clock time.Time, id, service, zone, address string, models map[string][]string) *runner {
 	if models == nil {
 		models = make(map[string][]string)
 	}
@@ -81,7 +89,7 @@
 	}
 	r := &runner{
 		w: w, id: id, service: service, zone: zone, address: address, listener: l,
-		work: 15 * time.Millisecond, state: "ready", born: time.Now().UnixMilli(), models: models,
+		work: 15 * time.Millisecond, state: "ready", born: clock.UnixMilli(), models: models,
 	}
 	if len(models) > 0 {
 		r.adapterSlots = 5
@@ -119,9 +127,12 @@
 func (r *runner) announce() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.ended {
+		return time.Now()
+	}
 	r.sequence++
 	entry := map[string]any{
-		"Service": r.service, "Address": r.address, "Zone": r.zone, "Version": "v1", "Slots": 6,
+		"Service": r.service, "Address": r.address, "Zone": r.zone, "Version": "v1", "Slots": r.w.slots,
 		"State": r.state, "ColdLeftMs": 0, "Sequence": r.sequence, "born": r.born,
 	}
 	if r.adapterSlots > 0 {
@@ -170,6 +181,13 @@
 		r.w.arrived(arrival{r.id, id, q.URL.Path, at, "not run"})
 		return
 	}
+	if !r.enter(q) {
+		w.Header().Set("X-Dotterellink-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		r.w.arrived(arrival{r.id, id, q.URL.Path, at, "not run"})
+		return
+	}
+	defer r.leave()
 	w.Header().Set("X-Dotterellink-Server-Seal", "seal."+r.id)
 	i := r.w.arrived(arrival{r.id, id, q.URL.Path, at, "running"})
 	if strings.Contains(q.URL.Path, "/stream/") {
@@ -186,6 +204,37 @@
 	r.w.ran(i, outcomeOf(err))
 }
 
+// bound makes the runner run so many requests at once, and queue so many more.
+func (r *runner) bound(slots, queue int) {
+	r.running, r.turn = make(chan struct{}, slots+queue), make(chan struct{}, slots)
+}
+
+// enter waits for the turn of a request. It returns false if the runner is full.
+func (r *runner) enter(q *http.Request) bool {
+	if r.turn == nil {
+		return true
+	}
+	select {
+	case r.running <- struct{}{}:
+	default:
+		return false
+	}
+	select {
+	case r.turn <- struct{}{}:
+		return true
+	case <-q.Context().Done():
+		<-r.running
+		return false
+	}
+}
+
+func (r *runner) leave() {
+	if r.turn != nil {
+		<-r.turn
+		<-r.running
+	}
+}
+
 func outcomeOf(err error) string {
 	if err != nil {
 		return "broken off"
--- a/review/harness2/world.go
+++ b/review/harness2/world.go
@@ -20,7 +20,6 @@
 
 // Bounds of a small deployment, as on the platform's pages.
 const (
-	drainBound = 2000 * time.Millisecond
 	leaseBound = 3000 * time.Millisecond
 	contact    = 3 * time.Second
 	grace      = 8 * time.Second
@@ -46,8 +45,10 @@
 	store       *store
 	runners     []*runner
 	machines    []*machine
-	started     time.Time
-	nextID      atomic.Uint64
+	// slots is how many requests a runner runs at once.
+	slots   int
+	started time.Time
+	nextID  atomic.Uint64
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -69,7 +70,7 @@
 	if err != nil {
 		panic(errCannotRun(err.Error()))
 	}
-	w := &world{dir: dir, daemon: daemon, started: time.Now()}
+	w := &world{dir: dir, daemon: daemon, slots: 6, started: time.Now()}
 	for range 20 {
 		w.network = fmt.Sprintf("127.%d.%d", 50+rand.IntN(150), 1+rand.IntN(250))
 		if w.store, err = newStore(w.network + ".1:8225"); err == nil {
