--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -18,8 +18,9 @@
 }
 
 var cases = map[string]func(w *world, trouble bool) verdict{
-	"crowd": crowdCase,
-	"moved": movedCase,
+	"crowd":     crowdCase,
+	"moved":     movedCase,
+	"restarted": restartedCase,
 }
 
 func main() {
